Fix the interfaces between the parts

Cause: the packages are to be written side by side.

Conclusion: the parts can be built against these interfaces.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+DEPLOYMENT ?= pondside
+PYTHON ?= python3.11
+VENV := .venv
+STAMP := $(VENV)/.installed
+
+.PHONY: install test demo bench format
+
+install: $(STAMP)
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet -c constraints.txt -e '.[dev]'
+	touch $(STAMP)
+
+format: install
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+test: install
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/python -m foxtailway.testing.runner
+
+demo: install
+	$(VENV)/bin/python -m examples.demo --deployment $(DEPLOYMENT)
+
+bench: install
+	$(VENV)/bin/python -m benchmarks
--- /dev/null
+++ b/foxtailway/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operator command."""
--- /dev/null
+++ b/foxtailway/common/__init__.py
@@ -0,0 +1,6 @@
+"""Failures and clocks shared by every package."""
+
+from foxtailway.common.clock import Clock, ManualClock, MonotonicClock
+from foxtailway.common.failure import Failure, FailureKind, Step
+
+__all__ = ["Clock", "Failure", "FailureKind", "ManualClock", "MonotonicClock", "Step"]
--- /dev/null
+++ b/foxtailway/config/__init__.py
@@ -0,0 +1,1 @@
+"""Base file and site overlays: parsing, validation and compilation."""
--- /dev/null
+++ b/foxtailway/node/__init__.py
@@ -0,0 +1,1 @@
+"""The node daemon."""
--- /dev/null
+++ b/foxtailway/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics, audit trail and the admin port."""
--- /dev/null
+++ b/foxtailway/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Carriage of calls between clients, nodes and upstreams."""
--- /dev/null
+++ b/foxtailway/settings/__init__.py
@@ -0,0 +1,23 @@
+"""Settings of a node, read from INI."""
+
+from foxtailway.settings.model import (
+    CallSettings,
+    DistributionSettings,
+    HostSettings,
+    ListenSettings,
+    NodeSettings,
+    PlatformSettings,
+    SeedAddress,
+    UpstreamSettings,
+)
+
+__all__ = [
+    "CallSettings",
+    "DistributionSettings",
+    "HostSettings",
+    "ListenSettings",
+    "NodeSettings",
+    "PlatformSettings",
+    "SeedAddress",
+    "UpstreamSettings",
+]
--- /dev/null
+++ b/foxtailway/transport/stream.py
@@ -0,0 +1,193 @@
+"""Streams of typed messages between nodes."""
+
+import socket
+from abc import ABC, abstractmethod
+from datetime import timedelta
+from typing import Any
+
+import msgpack
+from expression import Error, Ok, Result
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from foxtailway.common.failure import Failure, FailureKind, Step
+from foxtailway.transport.codec import MessageCodec
+
+__all__ = ["Dialer", "MessageStream", "TcpDialer", "TcpMessageStream"]
+
+READ_CHUNK_BYTES = 65_536
+USER_TIMEOUT_MS = 5_000
+
+
+class MessageStream(ABC):
+    """Exchange typed messages with one peer, in order.
+
+    Attributes
+    ----------
+    peer : str
+        ``address:port`` of the other side.
+    n_bytes_sent, n_bytes_received : int
+        Payload bytes passed so far.
+    """
+
+    peer: str
+    n_bytes_sent: int
+    n_bytes_received: int
+
+    @abstractmethod
+    async def send(self, message: object) -> Result[None, Failure]:
+        """Send a message and wait until the kernel accepted it."""
+
+    @abstractmethod
+    async def receive(self) -> Result[Any, Failure]:
+        """Wait for the next message."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close the stream; idempotent."""
+
+
+class Dialer(ABC):
+    """Open message streams to other nodes."""
+
+    @abstractmethod
+    async def dial(
+        self, *, address: str, port: int, timeout_s: float
+    ) -> Result[MessageStream, Failure]:
+        """Connect to a node's mesh listener."""
+
+
+class TcpMessageStream(MessageStream):
+    """Exchange msgpack messages over a TCP connection.
+
+    Parameters
+    ----------
+    stream : IOStream
+        Connected stream; owned by this object.
+    codec : MessageCodec
+        Codec of both sides.
+    peer : str
+        ``address:port`` of the other side.
+    max_message_size : int
+        Largest accepted message, in bytes.
+    """
+
+    def __init__(
+        self,
+        *,
+        stream: IOStream,
+        codec: MessageCodec,
+        peer: str,
+        max_message_size: int,
+    ) -> None:
+        self.stream = stream
+        self.codec = codec
+        self.peer = peer
+        self.n_bytes_sent = 0
+        self.n_bytes_received = 0
+        self.unpacker = msgpack.Unpacker(
+            max_buffer_size=max_message_size,
+            max_str_len=max_message_size,
+            max_bin_len=max_message_size,
+        )
+
+    async def send(self, message: object) -> Result[None, Failure]:
+        """Send a message and wait until the kernel accepted it."""
+        encoded = self.codec.encode(message)
+        try:
+            await self.stream.write(encoded)
+        except (StreamClosedError, OSError) as error:
+            return Error(self.fail(Step.SEND, FailureKind.CLOSED, error))
+        self.n_bytes_sent += len(encoded)
+        return Ok(None)
+
+    async def receive(self) -> Result[Any, Failure]:
+        """Wait for the next message."""
+        while True:
+            try:
+                packed = next(self.unpacker)
+                return self.codec.unpack(packed, peer=self.peer)
+            except StopIteration:
+                pass
+            except (ValueError, msgpack.UnpackException, RecursionError) as error:
+                return Error(self.fail(Step.DECODE, FailureKind.INVALID, error))
+            try:
+                chunk = await self.stream.read_bytes(READ_CHUNK_BYTES, partial=True)
+            except (StreamClosedError, OSError) as error:
+                return Error(self.fail(Step.RECEIVE, FailureKind.CLOSED, error))
+            self.n_bytes_received += len(chunk)
+            try:
+                self.unpacker.feed(chunk)
+            except msgpack.BufferFull as error:
+                return Error(self.fail(Step.DECODE, FailureKind.TOO_LARGE, error))
+
+    def close(self) -> None:
+        """Close the stream; idempotent."""
+        self.stream.close()
+
+    def fail(self, step: Step, kind: FailureKind, error: Exception) -> Failure:
+        """Return a failure of this stream."""
+        detail = f"{type(error).__name__}: {error}"
+        return Failure(step=step, kind=kind, peer=self.peer, detail=detail)
+
+
+class TcpDialer(Dialer):
+    """Open TCP message streams.
+
+    Parameters
+    ----------
+    codec : MessageCodec
+        Codec of both sides.
+    max_message_size : int
+        Largest accepted message, in bytes.
+    source_address : str
+        Local IP address from which connections are made.
+    """
+
+    def __init__(
+        self, *, codec: MessageCodec, max_message_size: int, source_address: str
+    ) -> None:
+        self.codec = codec
+        self.max_message_size = max_message_size
+        self.source_address = source_address
+        self.client = TCPClient()
+
+    async def dial(
+        self, *, address: str, port: int, timeout_s: float
+    ) -> Result[MessageStream, Failure]:
+        """Connect to a node's mesh listener."""
+        peer = f"{address}:{port}"
+        try:
+            stream = await self.client.connect(
+                address,
+                port,
+                max_buffer_size=self.max_message_size * 2,
+                source_ip=self.source_address,
+                timeout=timedelta(seconds=timeout_s),
+            )
+        except (TimeoutError, OSError, StreamClosedError) as error:
+            return Error(
+                Failure(
+                    step=Step.CONNECT,
+                    kind=FailureKind.UNREACHABLE,
+                    peer=peer,
+                    detail=f"{type(error).__name__}: {error}",
+                )
+            )
+        configure_socket(stream)
+        return Ok(
+            TcpMessageStream(
+                stream=stream,
+                codec=self.codec,
+                peer=peer,
+                max_message_size=self.max_message_size,
+            )
+        )
+
+
+def configure_socket(stream: IOStream) -> None:
+    """Disable Nagle's algorithm and bound the time of unacknowledged data."""
+    stream.set_nodelay(True)
+    stream.socket.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+    )
