--- a/foxtailway/source/__init__.py
+++ b/foxtailway/source/__init__.py
@@ -1,5 +1,6 @@
 """Reading and watching the platform's configuration service."""
 
+from foxtailway.source.collector import BundleCollector
 from foxtailway.source.reader import ChangeSet, KeyRevision, SourceReader, SourceValue
 
-__all__ = ["ChangeSet", "KeyRevision", "SourceReader", "SourceValue"]
+__all__ = ["BundleCollector", "ChangeSet", "KeyRevision", "SourceReader", "SourceValue"]
