Collect consistent bundles from the platform

Cause: the platform serves single values; a bundle has to be the state of all keys of its kind at one revision, while operators write at any time. Ruled out: trusting values read one after another (a write in between mixes two states); listing twice around the reads (one listing and the revision of each value already prove the state); naming a set by the store's revision alone (each write to the host list would make a version of the configuration); naming it by its newest key alone (a complete listing leaves deletions out, so a reader that starts after a deletion would name the newer state lower than the one its peers hold). A restored store that is regrown between two listings without any failed call, and without a raised generation, is not noticed.

--- a/foxtailway/source/__init__.py
+++ b/foxtailway/source/__init__.py
@@ -1,5 +1,6 @@
 """Reading and watching the platform's configuration service."""
 
+from foxtailway.source.bundle_collector import SourceBundleCollector
 from foxtailway.source.collector import BundleCollector
 from foxtailway.source.http_reader import HttpSourceReader
 from foxtailway.source.reader import ChangeSet, KeyRevision, SourceReader, SourceValue
@@ -9,6 +10,7 @@
     "ChangeSet",
     "HttpSourceReader",
     "KeyRevision",
+    "SourceBundleCollector",
     "SourceReader",
     "SourceValue",
 ]
