Load and check the settings of a node

Cause: a node has to refuse a wrong settings file with every finding at once. Ruled out: a page of the settings kept by hand, which drifts from the code. Change: one schema of sections and keys with units, defaults and ranges; the loader, docs/SETTINGS.md and examples/node.ini follow from it, and a test compares the committed pages with it.

--- a/foxtailway/settings/__init__.py
+++ b/foxtailway/settings/__init__.py
@@ -1,5 +1,6 @@
 """Settings of a node, read from INI."""
 
+from foxtailway.settings.load import load_settings, parse_settings
 from foxtailway.settings.model import (
     CallSettings,
     DistributionSettings,
@@ -20,4 +21,6 @@
     "PlatformSettings",
     "SeedAddress",
     "UpstreamSettings",
+    "load_settings",
+    "parse_settings",
 ]
--- /dev/null
+++ b/foxtailway/settings/page.py
@@ -0,0 +1,98 @@
+"""Pages of the documentation that follow from the schema of the settings."""
+
+from pathlib import Path
+
+from foxtailway.settings.schema import SECTIONS
+from foxtailway.settings.spec import KeySpec, SectionSpec
+
+__all__ = ["main", "render_example", "render_page"]
+
+PAGE_HEAD = """# Settings of a node
+
+A node reads one INI file: `foxtailway-node --settings node.ini`. Keys keep their
+case, `=` separates a key from its value, `#` and `;` start comment lines, and
+indented lines continue a value. The file is checked as a whole before the node
+starts; every finding is printed as `FILE:LINE: section.key: what is wrong and
+what is allowed`, and the node then exits with code 1. Unknown and duplicate
+sections and keys are findings.
+
+Durations are written with their unit (`500ms`, `2s`, `5min`, `1h`), sizes too
+(`4000B`, `16KB`, `2MB`; 1 KB is 1,000 bytes). `examples/node.ini` shows every key.
+
+This page and the example are written by `python -m foxtailway.settings.page`.
+"""
+EXAMPLE_HEAD = """# Settings of a node. Every key has its default or, where one is
+# required, a value for a host of the slot catalogue. docs/SETTINGS.md tells the
+# ranges.
+"""
+EXAMPLE_VALUES = {
+    "host.host_id": "accra-a-1",
+    "host.address": "10.1.1.1",
+    "host.zone": "accra-a",
+    "host.region": "accra",
+    "host.mesh": "pondside",
+    "upstream.service": "slot-catalogue",
+    "upstream.port": "8000",
+    "platform.url": "http://10.1.0.1:8500",
+    "platform.store_region": "accra",
+    "distribution.seeds": "10.1.1.2:7600 10.1.2.1:7600",
+}
+
+
+def render_page() -> str:
+    """Return the page that documents every key."""
+    return "\n".join([PAGE_HEAD, *(render_section(spec) for spec in SECTIONS)])
+
+
+def render_section(spec: SectionSpec) -> str:
+    """Return the part of the page about one section."""
+    lines = [
+        f"## `[{spec.name}]`",
+        "",
+        spec.summary,
+        "",
+        "| Key | Meaning | Unit | Default | Allowed |",
+        "| --- | --- | --- | --- | --- |",
+        *(render_row(key_spec) for key_spec in spec.keys),
+        "",
+    ]
+    return "\n".join(lines)
+
+
+def render_row(spec: KeySpec) -> str:
+    """Return the row of one key."""
+    default = "required"
+    if spec.default is not None:
+        default = f"`{spec.default}`" if spec.default else "empty"
+    cells = [
+        f"`{spec.key}`",
+        spec.summary,
+        spec.value.unit,
+        default,
+        spec.value.describe(),
+    ]
+    return f"| {' | '.join(cells)} |"
+
+
+def render_example() -> str:
+    """Return the example of a settings file."""
+    lines = [EXAMPLE_HEAD]
+    for spec in SECTIONS:
+        lines.append(f"[{spec.name}]")
+        for key_spec in spec.keys:
+            path = f"{spec.name}.{key_spec.key}"
+            value = EXAMPLE_VALUES.get(path, key_spec.default)
+            lines.append(f"# {key_spec.summary}")
+            lines.append(f"{key_spec.key} = {value}")
+        lines.append("")
+    return "\n".join(lines)
+
+
+def main() -> None:
+    """Write the page and the example below the working directory."""
+    Path("docs/SETTINGS.md").write_text(render_page())
+    Path("examples/node.ini").write_text(render_example())
+
+
+if __name__ == "__main__":
+    main()
