Report an INI file without sections

Change: such a file has a finding; the test states it. The range of a duration has a test of its own.

--- a/foxtailway/common/ini.py
+++ b/foxtailway/common/ini.py
@@ -142,6 +142,8 @@
 
     def finish(self, sections: Mapping[str, IniSection]) -> IniDocument:
         """Return the document with sorted findings."""
+        if not sections and not self.findings:
+            self.report(1, "", "", "no section; at least one is needed")
         findings = tuple(sorted(self.findings, key=lambda finding: finding.line))
         return IniDocument(source=self.source, sections=sections, findings=findings)
 
--- a/foxtailway/common/tests/test_ini.py
+++ b/foxtailway/common/tests/test_ini.py
@@ -44,6 +44,7 @@
         n_lines = len(text.split("\n"))
         for finding in document.findings:
             self.assertIn(finding.line, range(1, n_lines + 1))
+        self.assertTrue(document.findings or document.sections)
 
     def test_all_faults_are_found_at_once(self) -> None:
         text = "stray\n[a]\nk = 1\nk = 2\nnonsense\n[b]\nm = 1\n[a]\nk = 3\nn = 4"
@@ -64,6 +65,7 @@
         cases = {
             b"": "file:1: empty file",
             b" \n": "file:1: empty file",
+            b"; a comment\n": "file:1: no section",
             b"[a]\nk = \xff": "file:2: not UTF-8",
             b"[a]\n" + b"#" * 30: "file:1: 34 bytes; at most 32",
         }
--- a/foxtailway/settings/tests/test_load.py
+++ b/foxtailway/settings/tests/test_load.py
@@ -96,6 +96,7 @@
             "store_region = accra\n": [
                 "store_region = accra\n[calls]\nmax_message_size = 1B\n",
                 "store_region = accra\n[calls]\nmax_message_size = 2\n",
+                "store_region = accra\n[calls]\nstop_timeout = 2h\n",
                 "store_region = accra\n[observe]\nlog_level = info\n",
                 "store_region = accra\n[observe]\naudit_size = 1000000000000\n",
                 "store_region = accra\n[distribution]\nseeds = host:7600\n",
