--- /dev/null
+++ b/foxtailway/testing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ``foxtailway.testing``."""
--- /dev/null
+++ b/foxtailway/testing/tests/test_upstream.py
@@ -0,0 +1,102 @@
+import asyncio
+import json
+import subprocess
+import sys
+import unittest
+
+from tornado.httpclient import (
+    AsyncHTTPClient,
+    HTTPClientError,
+    HTTPRequest,
+    HTTPResponse,
+)
+
+from foxtailway.testing.upstream import CRASH_EXIT_CODE, UpstreamStandIn
+
+
+async def fetch(url: str, **arguments: object) -> HTTPResponse:
+    request = HTTPRequest(url, **arguments)
+    return await AsyncHTTPClient().fetch(request, raise_error=False)
+
+
+class UpstreamStandInTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, **arguments: object) -> UpstreamStandIn:
+        upstream = UpstreamStandIn(address="127.0.0.1", **arguments)
+        upstream.start()
+        self.addAsyncCleanup(upstream.stop)
+        return upstream
+
+    async def test_runs_are_counted_by_key_and_path(self) -> None:
+        upstream = await self.start()
+        headers = {"Idempotency-Key": "a"}
+        for _ in range(2):
+            url = f"{upstream.url}/holds?size=5"
+            await fetch(url, method="POST", body=b"x", headers=headers)
+        answer = json.loads((await fetch(f"{upstream.url}/holds?size=5")).body)
+        self.assertEqual((answer["path"], answer["padding"]), ("/holds", "x" * 5))
+        counters = json.loads((await fetch(f"{upstream.url}/control/counters")).body)
+        self.assertEqual(counters["n_runs"], 3)
+        self.assertEqual(counters["runs_by_key"], {"a": 2})
+        self.assertEqual(counters["runs_by_path"], {"/holds": 3})
+
+    async def test_slots_bound_what_runs_and_the_rest_is_shed(self) -> None:
+        upstream = await self.start(n_slots=2, n_connections=4, delay_s=0.05)
+        calls = [fetch(f"{upstream.url}/a") for _ in range(6)]
+        codes = [response.code for response in await asyncio.gather(*calls)]
+        self.assertEqual(sorted(codes), [200] * 4 + [503] * 2)
+        self.assertEqual(upstream.counters.n_most_running, 2)
+        self.assertEqual(upstream.counters.n_shed, 2)
+        self.assertEqual(upstream.counters.n_runs, 4)
+
+    async def test_abandoned_request_that_waits_does_not_run(self) -> None:
+        upstream = await self.start(n_slots=1, delay_s=0.1)
+        first = asyncio.create_task(fetch(f"{upstream.url}/a"))
+        while not upstream.counters.n_running:
+            await asyncio.wait([first], timeout=0.001)
+        with self.assertRaises(HTTPClientError):
+            await fetch(f"{upstream.url}/b", request_timeout=0.03)
+        self.assertEqual((await first).code, 200)
+        await fetch(f"{upstream.url}/c")
+        self.assertEqual(upstream.runs_by_path, {"/a": 1, "/c": 1})
+
+    async def test_outgoing_calls_follow_a_chain(self) -> None:
+        upstreams = [await self.start(name=name) for name in "abc"]
+        urls = " ".join(f"{upstream.url}/x" for upstream in upstreams[1:])
+        headers = {"X-Call-Url": urls, "X-Trace": "1", "Idempotency-Key": "k"}
+        answer = json.loads((await fetch(upstreams[0].url, headers=headers)).body)
+        second = json.loads(answer["called"]["body"])
+        third = json.loads(second["called"]["body"])
+        self.assertEqual((second["name"], third["name"]), ("b", "c"))
+        self.assertEqual(upstreams[2].runs_by_key, {})
+
+    async def test_faults_by_http(self) -> None:
+        upstream = await self.start()
+        body = b'{"is_draining": true, "is_reported_healthy": true}'
+        await fetch(f"{upstream.url}/control/faults", method="POST", body=body)
+        self.assertEqual((await fetch(f"{upstream.url}/health")).code, 200)
+        self.assertEqual((await fetch(f"{upstream.url}/a")).code, 503)
+        self.assertEqual(upstream.counters.n_runs, 0)
+
+
+class ProcessTest(unittest.TestCase):
+    def start(self, module: str) -> tuple[subprocess.Popen, str]:
+        process = subprocess.Popen(
+            [sys.executable, "-m", module], stdout=subprocess.PIPE, text=True
+        )
+        self.addCleanup(process.stdout.close)
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        port = json.loads(process.stdout.readline())["port"]
+        return process, f"http://127.0.0.1:{port}"
+
+    def test_crash_request_kills_the_process(self) -> None:
+        process, url = self.start("foxtailway.testing.upstream")
+        with self.assertRaises(HTTPClientError):
+            asyncio.run(fetch(f"{url}/holds/crash"))
+        self.assertEqual(process.wait(timeout=10), CRASH_EXIT_CODE)
+
+    def test_stand_ins_stop_on_sigterm(self) -> None:
+        for module in ("foxtailway.testing.upstream", "foxtailway.testing.platform"):
+            process, _ = self.start(module)
+            process.terminate()
+            self.assertEqual(process.wait(timeout=10), 0)
