--- /dev/null
+++ b/foxtailway/config/host_list.py
@@ -0,0 +1,175 @@
+"""Host lists: one document for each availability zone."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from ipaddress import ip_address
+
+import orjson
+from expression import Error, Ok, Result
+
+from foxtailway.common.failure import Failure, FailureKind, Step
+from foxtailway.config.sectioned_document import MAX_DOCUMENT_BYTES
+from foxtailway.model.bundle import HOSTS_PREFIX, Document
+from foxtailway.model.host import Host, HostState
+
+__all__ = ["HostTable", "parse_host_list", "read_host_table"]
+
+N_FIELDS = 5
+MAX_PORT = 65535
+MAX_NAME_LENGTH = 63
+ALLOWED_LINE = '["host_id","address",mesh_port,"service","live" or "leaving"]'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostTable:
+    """Hold the hosts of one availability zone.
+
+    Parameters
+    ----------
+    key : str
+        Key of the document.
+    digest : bytes
+        Digest of the document.
+    by_line : Mapping of bytes to Host
+        Hosts by the line that describes them, in the order of the document.
+    live_by_service : Mapping of str to tuple of Host
+        Live hosts of each service, in the order of the document.
+    """
+
+    key: str
+    digest: bytes
+    by_line: Mapping[bytes, Host]
+    live_by_service: Mapping[str, tuple[Host, ...]]
+
+
+def parse_host_list(document: Document) -> Result[tuple[Host, ...], Failure]:
+    """Read all hosts of one availability zone.
+
+    Parameters
+    ----------
+    document : Document
+        Document with the key ``hosts/ZONE``; each line is one JSON array
+        ``["host_id","address",mesh_port,"service","live"|"leaving"]``.
+
+    Returns
+    -------
+    Result
+        Hosts in the order of the lines, or a failure that names the line.
+
+    Examples
+    --------
+    >>> from foxtailway.model.bundle import make_document
+    >>> line = b'["h1","10.0.0.1",7000,"payments","live"]'
+    >>> hosts = parse_host_list(make_document(key="hosts/accra-a", content=line)).ok
+    >>> hosts[0].zone
+    'accra-a'
+    """
+    table = read_host_table(document, previous=None)
+    return table.map(lambda read: tuple(read.by_line.values()))
+
+
+def read_host_table(
+    document: Document, *, previous: HostTable | None
+) -> Result[HostTable, Failure]:
+    """Read a host list and reuse the hosts of unchanged lines.
+
+    Parameters
+    ----------
+    document : Document
+        Document with the key ``hosts/ZONE``.
+    previous : HostTable or None
+        Earlier version of the same document.
+
+    Returns
+    -------
+    Result
+        Hosts by line, or a failure that names the line.
+    """
+    if previous is not None and previous.digest == document.digest:
+        return Ok(previous)
+    if not document.key.startswith(HOSTS_PREFIX):
+        return Error(make_failure(document, "the key is not hosts/ZONE"))
+    if len(document.content) > MAX_DOCUMENT_BYTES:
+        return Error(make_failure(document, f"more than {MAX_DOCUMENT_BYTES} bytes"))
+    zone = document.key.removeprefix(HOSTS_PREFIX)
+    known = {} if previous is None else previous.by_line
+    by_line: dict[bytes, Host] = {}
+    ids: set[str] = set()
+    for number, line in enumerate(document.content.split(b"\n"), start=1):
+        if not line:
+            continue
+        host = known.get(line) or parse_line(line, zone)
+        if host is None:
+            return Error(make_failure(document, f"line {number} is not {ALLOWED_LINE}"))
+        if host.host_id in ids:
+            detail = f"line {number} repeats host '{host.host_id}'"
+            return Error(make_failure(document, detail))
+        ids.add(host.host_id)
+        by_line[line] = host
+    return Ok(
+        HostTable(
+            key=document.key,
+            digest=document.digest,
+            by_line=by_line,
+            live_by_service=group_live_hosts(by_line.values()),
+        )
+    )
+
+
+def group_live_hosts(hosts: Iterable[Host]) -> dict[str, tuple[Host, ...]]:
+    """Return the live hosts of each service."""
+    groups: dict[str, list[Host]] = {}
+    for host in hosts:
+        if host.state is HostState.LIVE:
+            groups.setdefault(host.service, []).append(host)
+    return {service: tuple(group) for service, group in groups.items()}
+
+
+def parse_line(line: bytes, zone: str) -> Host | None:
+    """Return the host that a line describes, or None for a bad line."""
+    try:
+        fields = orjson.loads(line)
+    except orjson.JSONDecodeError:
+        return None
+    if not isinstance(fields, list) or len(fields) != N_FIELDS:
+        return None
+    host_id, address, mesh_port, service, state = fields
+    texts = (host_id, address, service, state)
+    if not all(isinstance(text, str) and is_short(text) for text in texts):
+        return None
+    if type(mesh_port) is not int or not 0 < mesh_port <= MAX_PORT:
+        return None
+    if not is_address(address) or state not in ("live", "leaving"):
+        return None
+    return Host(
+        host_id=host_id,
+        address=address,
+        mesh_port=mesh_port,
+        zone=zone,
+        service=service,
+        state=HostState(state),
+    )
+
+
+def is_short(text: str) -> bool:
+    """Return whether a text can be an identifier."""
+    return 0 < len(text) <= MAX_NAME_LENGTH and text.isprintable()
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is an IP address."""
+    try:
+        ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def make_failure(document: Document, detail: str) -> Failure:
+    """Build the failure of a host list."""
+    return Failure(
+        step=Step.CONFIG_PARSE,
+        kind=FailureKind.INVALID,
+        peer=document.key,
+        detail=detail,
+    )
--- /dev/null
+++ b/foxtailway/config/overlay.py
@@ -0,0 +1,193 @@
+"""Overlays: what one site changes within the bounds of the base file."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from foxtailway.config.base_file import BaseFile
+from foxtailway.config.finding import Defect, Finding
+from foxtailway.config.relation import find_contradictions
+from foxtailway.config.sectioned_document import (
+    LocatedSection,
+    SectionedDocument,
+    read_document,
+)
+from foxtailway.config.typed_section import Entry, Section, read_overlay_section
+from foxtailway.model.bundle import Document
+
+__all__ = ["Overlay", "check_overlay", "merge_entries", "read_overlay"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Overlay:
+    """Hold one overlay, checked by itself.
+
+    Parameters
+    ----------
+    site : str
+        Availability zone that the overlay is for.
+    document : SectionedDocument
+        All sections, for reuse with the next version.
+    sections : Mapping of tuple to LocatedSection
+        Sections by kind and name.
+    findings : tuple of Finding
+        Defects that show without the base file.
+    """
+
+    site: str
+    document: SectionedDocument
+    sections: Mapping[tuple[str, str], LocatedSection]
+    findings: tuple[Finding, ...]
+
+
+def read_overlay(document: Document, *, site: str, previous: Overlay | None) -> Overlay:
+    """Read an overlay without a look at the base file.
+
+    Parameters
+    ----------
+    document : Document
+        Overlay as published.
+    site : str
+        Availability zone.
+    previous : Overlay or None
+        Earlier version, whose unchanged sections are reused.
+
+    Returns
+    -------
+    Overlay
+        Sections and findings.
+    """
+    sectioned = read_document(
+        document,
+        read_section=read_overlay_section,
+        previous=None if previous is None else previous.document,
+    )
+    if previous is not None and sectioned is previous.document:
+        return previous
+    sections: dict[tuple[str, str], LocatedSection] = {}
+    findings = list(sectioned.findings)
+    for located in sectioned.sections:
+        section = located.section
+        if not section.kind:
+            continue
+        first = sections.setdefault((section.kind, section.name), located)
+        if first is not located:
+            findings.append(
+                sectioned.make_finding(
+                    located,
+                    key="",
+                    problem="the section is a duplicate",
+                    allowed="one such section",
+                )
+            )
+    return Overlay(
+        site=site,
+        document=sectioned,
+        sections=sections,
+        findings=tuple(findings),
+    )
+
+
+def merge_entries(base: Section, overlay: Section | None) -> dict[str, Entry]:
+    """Return the entries of a base section as changed by an overlay."""
+    if overlay is None:
+        return dict(base.entries)
+    return {**base.entries, **overlay.entries}
+
+
+def check_overlay(overlay: Overlay, *, base: BaseFile) -> list[Finding]:
+    """Check an overlay against the base file.
+
+    Parameters
+    ----------
+    overlay : Overlay
+        Overlay of one site.
+    base : BaseFile
+        Base file of the same version.
+
+    Returns
+    -------
+    list of Finding
+        Unknown sites and sections, and keys that go beyond what is allowed.
+    """
+    findings = []
+    if overlay.site not in base.sites:
+        defect = Defect(
+            problem=f"there is no site '{overlay.site}'",
+            allowed="an overlay for a section [site NAME] of the base file",
+        )
+        findings.append(
+            Finding(
+                source=overlay.document.key, line=1, section="", key="", defect=defect
+            )
+        )
+    for located in overlay.sections.values():
+        findings += check_section(overlay.document, located, base)
+    return findings
+
+
+def check_section(
+    document: SectionedDocument, located: LocatedSection, base: BaseFile
+) -> list[Finding]:
+    """Check one section of an overlay against the base file."""
+    section = located.section
+    target = base.find_section(kind=section.kind, name=section.name)
+    if target is None:
+        return [
+            document.make_finding(
+                located,
+                key="",
+                problem="the base file has no such section",
+                allowed="sections of the base file",
+            )
+        ]
+    findings = []
+    for key, entry in section.entries.items():
+        findings += check_entry(document, located, key, entry.value, base)
+    return findings + check_merged(document, located, target.section)
+
+
+def check_entry(
+    document: SectionedDocument,
+    located: LocatedSection,
+    key: str,
+    value: Any,
+    base: BaseFile,
+) -> list[Finding]:
+    """Check one value of an overlay against the rules of the base file."""
+    path = f"{located.section.kind}.{key}"
+    bounds = base.overlay_rules.get(path)
+    if bounds is None:
+        problem = "the base file doesn't let overlays change the key"
+        allowed = f"{', '.join(base.overlay_rules) or 'no key'} by [overlays]"
+    elif not bounds.contain(value):
+        problem = "the value widens the bounds of the base file"
+        allowed = f"{bounds.text} by [overlays] {path}"
+    else:
+        return []
+    return [document.make_finding(located, key=key, problem=problem, allowed=allowed)]
+
+
+def check_merged(
+    document: SectionedDocument, located: LocatedSection, target: Section
+) -> list[Finding]:
+    """Check relations between values once the overlay is merged."""
+    section = located.section
+    merged = merge_entries(target, section)
+    values = {key: entry.value for key, entry in merged.items()}
+    findings = []
+    for contradiction in find_contradictions(section.kind, values):
+        key = contradiction.key
+        if key not in section.entries:
+            key = contradiction.other_key
+        if key not in section.entries:
+            continue
+        findings.append(
+            document.make_finding(
+                located,
+                key=key,
+                problem=f"{contradiction.defect.problem} once merged",
+                allowed=contradiction.defect.allowed,
+            )
+        )
+    return findings
--- /dev/null
+++ b/foxtailway/config/section.py
@@ -0,0 +1,175 @@
+"""Splitting of INI text at its headers and parsing of single sections."""
+
+from collections.abc import Iterator
+from configparser import Error as ConfigParserError
+from configparser import MissingSectionHeaderError, ParsingError, RawConfigParser
+from dataclasses import dataclass
+
+from foxtailway.config.finding import Defect, Finding
+
+__all__ = ["RawEntry", "RawSection", "parse_section", "split_sections"]
+
+HEADER_BREAK = "\n["
+HEADER_DEFECT = "a header in square brackets that starts its line and ends it"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RawEntry:
+    """Hold one key with its unparsed text.
+
+    Parameters
+    ----------
+    key : str
+        Key as written.
+    text : str
+        Text of the value.
+    line : int
+        Line in the section, the header's line is 1.
+    """
+
+    key: str
+    text: str
+    line: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RawSection:
+    """Hold one section with unparsed values.
+
+    Parameters
+    ----------
+    header : str
+        Text between the brackets.
+    entries : tuple of RawEntry
+        Distinct keys in the order of the file.
+    findings : tuple of Finding
+        Defects of form, among them duplicate keys.
+    """
+
+    header: str
+    entries: tuple[RawEntry, ...]
+    findings: tuple[Finding, ...]
+
+
+class LocatingParser(RawConfigParser):
+    """Record at which line each key stands, duplicates included."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            default_section="",
+            delimiters=("=",),
+            strict=False,
+            empty_lines_in_values=False,
+        )
+        self.n_lines_read = 0
+        self.key_lines: list[tuple[str, int]] = []
+
+    def optionxform(self, optionstr: str) -> str:
+        """Record the line of a key and keep its case."""
+        self.key_lines.append((optionstr, self.n_lines_read))
+        return optionstr
+
+    def count_lines(self, text: str) -> Iterator[str]:
+        """Yield the lines of `text` while counting them."""
+        for line in text.split("\n"):
+            self.n_lines_read += 1
+            yield line
+
+
+def split_sections(text: str) -> list[str]:
+    r"""Split INI text in front of every line that starts with a bracket.
+
+    The first part lacks a header when other lines precede the first one.
+
+    Examples
+    --------
+    >>> split_sections("# note\n[mesh]\nname = a\n[site b]")
+    ['# note', '[mesh]\nname = a', '[site b]']
+    """
+    first, *others = ("\n" + text).split(HEADER_BREAK)
+    sections = ["[" + other for other in others]
+    return [first[1:], *sections] if first else sections
+
+
+def parse_section(text: str) -> RawSection:
+    """Parse the text of one section.
+
+    Parameters
+    ----------
+    text : str
+        One part returned by `split_sections`.
+
+    Returns
+    -------
+    RawSection
+        Section with an empty header when the text holds none.
+    """
+    parser = LocatingParser()
+    findings: list[Finding] = []
+    try:
+        parser.read_file(parser.count_lines(text))
+    except MissingSectionHeaderError as error:
+        if not text.startswith("["):
+            problem = "the line belongs to no section"
+            findings.append(make_form_finding(error.lineno, problem))
+    except ParsingError as error:
+        for line, _ in error.errors:
+            findings.append(make_form_finding(line, "the line is no 'key = value'"))
+    except ConfigParserError:
+        findings.append(make_form_finding(1, "the section can't be parsed"))
+    header = parser.sections()[0] if parser.sections() else ""
+    findings.extend(check_header(text, parser.sections()))
+    findings.extend(find_duplicates(parser.key_lines, header))
+    return RawSection(
+        header=header,
+        entries=collect_entries(parser, header),
+        findings=tuple(findings),
+    )
+
+
+def make_form_finding(line: int, problem: str) -> Finding:
+    """Build a finding about a line that is neither header nor key."""
+    allowed = f"comments, 'key = value' and {HEADER_DEFECT}"
+    return Finding(
+        source="",
+        line=line,
+        section="",
+        key="",
+        defect=Defect(problem=problem, allowed=allowed),
+    )
+
+
+def check_header(text: str, headers: list[str]) -> list[Finding]:
+    """Find headers that are indented or followed by other text."""
+    findings = []
+    for offset, line in enumerate(text.split("\n"), start=1):
+        stripped = line.strip()
+        is_first = offset == 1 and stripped == f"[{headers[0]}]" if headers else False
+        if stripped.startswith("[") and not is_first:
+            findings.append(make_form_finding(offset, "this is no proper header"))
+    return findings
+
+
+def find_duplicates(key_lines: list[tuple[str, int]], header: str) -> list[Finding]:
+    """Find keys that stand in a section more than once."""
+    findings = []
+    first_lines: dict[str, int] = {}
+    for key, line in key_lines:
+        first_line = first_lines.setdefault(key, line)
+        if first_line != line:
+            defect = Defect(problem="the key is a duplicate", allowed="one such key")
+            findings.append(
+                Finding(source="", line=line, section=header, key=key, defect=defect)
+            )
+    return findings
+
+
+def collect_entries(parser: LocatingParser, header: str) -> tuple[RawEntry, ...]:
+    """Return the distinct keys of the first section."""
+    if not header:
+        return ()
+    lines = dict(reversed(parser.key_lines))
+    return tuple(
+        RawEntry(key=key, text=text, line=lines[key])
+        for key, text in parser.items(header, raw=True)
+    )
--- /dev/null
+++ b/foxtailway/config/zones.py
@@ -0,0 +1,45 @@
+"""Regions of availability zones."""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+
+from foxtailway.config.base_file import BaseFile
+from foxtailway.config.section import split_sections
+from foxtailway.config.typed_section import read_base_section
+from foxtailway.model.bundle import Document
+
+__all__ = ["list_zone_regions", "read_zone_regions"]
+
+SITE_HEADER_START = "[site "
+
+
+def list_zone_regions(base: BaseFile) -> Mapping[str, str]:
+    """Return the region of each site of a checked base file."""
+    regions = {
+        name: located.section.entries["region"].value
+        for name, located in base.sites.items()
+    }
+    return MappingProxyType(regions)
+
+
+def read_zone_regions(document: Document) -> Mapping[str, str]:
+    """Return the region of each availability zone, without a full validation.
+
+    Parameters
+    ----------
+    document : Document
+        Base document; sections that state no region are left out.
+
+    Returns
+    -------
+    Mapping of str to str
+        Region by availability zone.
+    """
+    regions: dict[str, str] = {}
+    for text in split_sections(document.content.decode(errors="replace")):
+        if not text.startswith(SITE_HEADER_START):
+            continue
+        section = read_base_section(text)
+        if section.kind and "region" in section.entries:
+            regions.setdefault(section.name, section.entries["region"].value)
+    return MappingProxyType(regions)
