Distribute versions between nodes over control streams

Cause: nodes had no way to receive versions but to poll the platform each.

Change: a core without I/O places hosts by rendezvous hashing, keeps one parent, pushes deltas to children, refuses older or conflicting versions, and an agent runs it over the mesh's streams.

Ruled out: polling by every node, since calls would grow with the fleet.

--- a/foxtailway/distribution/__init__.py
+++ b/foxtailway/distribution/__init__.py
@@ -1,5 +1,18 @@
 """Distribution of versions from the platform to every node."""
 
+from foxtailway.distribution.agent import DistributionAgent
+from foxtailway.distribution.message import CONTROL_MESSAGE_TYPES, ControlHello
+from foxtailway.distribution.observer import DistributionObserver
+from foxtailway.distribution.placement import Topology
 from foxtailway.distribution.sink import BundleSink
+from foxtailway.distribution.status import DistributionStatus
 
-__all__ = ["BundleSink"]
+__all__ = [
+    "CONTROL_MESSAGE_TYPES",
+    "BundleSink",
+    "ControlHello",
+    "DistributionAgent",
+    "DistributionObserver",
+    "DistributionStatus",
+    "Topology",
+]
--- /dev/null
+++ b/foxtailway/distribution/admission.py
@@ -0,0 +1,88 @@
+"""Which nodes may open a control stream, and what refused ones are told."""
+
+from expression import Error, Ok, Result
+
+from foxtailway.common.failure import FailureKind
+from foxtailway.distribution.link import LinkRole, LinkTable
+from foxtailway.distribution.message import (
+    PROTOCOL_VERSION,
+    ControlHello,
+    Purpose,
+    RefusedReason,
+)
+from foxtailway.settings.model import NodeSettings
+
+__all__ = ["REFUSAL_FAILURES", "Admission"]
+
+MAX_FULL_TRANSFERS = 4
+RELAY_RESERVE_DIVISOR = 4
+GUESTS_PER_CHILD = 4
+
+REFUSAL_FAILURES = {
+    RefusedReason.WRONG_MESH: FailureKind.WRONG_MESH,
+    RefusedReason.WRONG_PROTOCOL: FailureKind.WRONG_PROTOCOL,
+}
+
+
+class Admission:
+    """Judge hellos against the identity and the limits of a node.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Identity and fan-out.
+    links : LinkTable
+        Present streams.
+    """
+
+    def __init__(self, *, settings: NodeSettings, links: LinkTable) -> None:
+        self.host = settings.host
+        self.fan_out = settings.distribution.fan_out
+        self.links = links
+
+    def judge(
+        self, hello: ControlHello, *, needs_full_transfer: bool
+    ) -> Result[LinkRole, RefusedReason]:
+        """Return the role of the new stream, or why it is refused."""
+        if hello.mesh != self.host.mesh:
+            return Error(RefusedReason.WRONG_MESH)
+        if hello.protocol_version != PROTOCOL_VERSION:
+            return Error(RefusedReason.WRONG_PROTOCOL)
+        if hello.purpose is Purpose.PROBE:
+            return self.judge_guest()
+        return self.judge_child(hello, needs_full_transfer=needs_full_transfer)
+
+    def judge_guest(self) -> Result[LinkRole, RefusedReason]:
+        """Bound the number of probing nodes."""
+        n_guests = len(self.links.list_role(LinkRole.GUEST))
+        if n_guests >= GUESTS_PER_CHILD * self.fan_out:
+            return Error(RefusedReason.BUSY)
+        return Ok(LinkRole.GUEST)
+
+    def judge_child(
+        self, hello: ControlHello, *, needs_full_transfer: bool
+    ) -> Result[LinkRole, RefusedReason]:
+        """Bound the number of children and of full transfers."""
+        if hello.host_id in self.list_upper_hosts():
+            return Error(RefusedReason.LOOP)
+        others = [
+            link
+            for link in self.links.list_role(LinkRole.CHILD)
+            if link.host_id != hello.host_id
+        ]
+        capacity = self.fan_out
+        if hello.is_relay:
+            capacity += max(1, self.fan_out // RELAY_RESERVE_DIVISOR)
+        if len(others) >= capacity:
+            return Error(RefusedReason.FULL)
+        n_full_transfers = self.links.count_full_transfers()
+        if needs_full_transfer and n_full_transfers >= MAX_FULL_TRANSFERS:
+            return Error(RefusedReason.BUSY)
+        return Ok(LinkRole.CHILD)
+
+    def list_upper_hosts(self) -> set[str | None]:
+        """Return the own host and those that are or may become its parent."""
+        uppers = {self.host.host_id}
+        for role in (LinkRole.PARENT, LinkRole.TRIAL):
+            uppers.update(link.host_id for link in self.links.list_role(role))
+        return uppers
--- /dev/null
+++ b/foxtailway/distribution/assembly.py
@@ -0,0 +1,129 @@
+"""Putting received parts together into verified bundles."""
+
+from collections import OrderedDict
+from dataclasses import replace
+
+from expression import Error, Ok, Result
+
+from foxtailway.common.failure import Failure, FailureKind, Step
+from foxtailway.distribution.delta import decode_document
+from foxtailway.distribution.message import EncodedDocument, Encoding, UpdatePart
+from foxtailway.model.bundle import Bundle, Document, make_bundle
+
+__all__ = ["Staging", "UpdateAssembly"]
+
+MAX_STAGED_BYTES = 8_388_608
+MAX_BUNDLE_BYTES = 33_554_432
+MAX_BUNDLE_DOCUMENTS = 4_096
+
+
+class Staging:
+    """Keep verified documents of interrupted transfers, bounded in size."""
+
+    def __init__(self) -> None:
+        self.documents: OrderedDict[bytes, Document] = OrderedDict()
+        self.n_bytes = 0
+
+    def add(self, document: Document) -> None:
+        """Keep a document and drop the oldest ones beyond the bound."""
+        if document.digest in self.documents:
+            return
+        self.documents[document.digest] = document
+        self.n_bytes += len(document.content)
+        while self.n_bytes > MAX_STAGED_BYTES:
+            _, dropped = self.documents.popitem(last=False)
+            self.n_bytes -= len(dropped.content)
+
+    def clear(self) -> None:
+        """Forget all documents."""
+        self.documents.clear()
+        self.n_bytes = 0
+
+
+class UpdateAssembly:
+    """Collect the parts of one update.
+
+    Parameters
+    ----------
+    first : UpdatePart
+        Any part of the update.
+    base : Bundle or None
+        Bundle from which the update starts.
+    peer : str
+        Sender, named in failures.
+    """
+
+    def __init__(self, first: UpdatePart, *, base: Bundle | None, peer: str) -> None:
+        self.version = first.version
+        self.base_digest = first.base_digest
+        self.first = first
+        self.base = base
+        self.peer = peer
+        self.parts: list[UpdatePart] = []
+        self.documents: dict[str, Document] = {}
+        self.n_bytes = 0
+
+    def fits(self, part: UpdatePart) -> bool:
+        """Tell whether `part` belongs to this update."""
+        return (
+            part.version == self.version
+            and part.base_digest == self.base_digest
+            and part.n_documents == self.first.n_documents
+        )
+
+    def add(self, part: UpdatePart, staging: Staging) -> Result[Bundle | None, Failure]:
+        """Take a part in and return the bundle once it is whole and verified."""
+        if not 0 <= part.n_documents <= MAX_BUNDLE_DOCUMENTS:
+            return self.fail(FailureKind.TOO_LARGE, f"{part.n_documents} documents")
+        for encoded in part.documents:
+            decoded = self.decode(encoded, staging)
+            if decoded.is_error():
+                return Error(decoded.error)
+            self.documents[encoded.key] = decoded.ok
+            self.n_bytes += len(decoded.ok.content)
+            if self.n_bytes > MAX_BUNDLE_BYTES:
+                return self.fail(FailureKind.TOO_LARGE, f"{self.n_bytes} bytes")
+            if encoded.encoding is Encoding.FULL:
+                staging.add(decoded.ok)
+        self.parts.append(part)
+        if len(self.documents) > part.n_documents:
+            return self.fail(FailureKind.INVALID, "more documents than announced")
+        if len(self.documents) < part.n_documents:
+            return Ok(None)
+        return self.build()
+
+    def decode(
+        self, encoded: EncodedDocument, staging: Staging
+    ) -> Result[Document, Failure]:
+        """Return the document that `encoded` stands for."""
+        if encoded.encoding is Encoding.STAGED:
+            staged = staging.documents.get(encoded.digest)
+            if staged is None:
+                return self.fail(FailureKind.INVALID, f"{encoded.key}: not staged")
+            return Ok(replace(staged, key=encoded.key))
+        base = self.base.find(encoded.key) if self.base else None
+        return decode_document(encoded, base=base, peer=self.peer)
+
+    def build(self) -> Result[Bundle | None, Failure]:
+        """Apply the changes to the base and check the digest of the whole."""
+        documents = {}
+        if self.base is not None:
+            documents = {document.key: document for document in self.base.documents}
+        for key in self.first.removed:
+            documents.pop(key, None)
+        documents.update(self.documents)
+        bundle = make_bundle(
+            kind=self.first.kind,
+            generation=self.version.generation,
+            revision=self.version.revision,
+            documents=documents.values(),
+        )
+        if bundle.version != self.version:
+            return self.fail(FailureKind.DIGEST_MISMATCH, f"version {self.version}")
+        return Ok(bundle)
+
+    def fail(self, kind: FailureKind, detail: str) -> Result:
+        """Return a failure of step ``VERIFY``."""
+        return Error(
+            Failure(step=Step.VERIFY, kind=kind, peer=self.peer, detail=detail)
+        )
--- /dev/null
+++ b/foxtailway/distribution/context.py
@@ -0,0 +1,72 @@
+"""State and output shared by the parts of the distribution core."""
+
+from itertools import count
+from random import Random
+from typing import Any
+
+from foxtailway.common.failure import Failure, FailureKind, Step
+from foxtailway.distribution.action import Action, CloseLink, Report, Send
+from foxtailway.distribution.freshness import Freshness
+from foxtailway.distribution.link import Link, LinkTable
+from foxtailway.settings.model import NodeSettings
+
+__all__ = ["CoreContext"]
+
+
+class CoreContext:
+    """Collect the actions of the parts of one core.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Settings of the node.
+    random_source : Random
+        Source of jitter.
+    now : float
+        Current time in seconds.
+
+    Attributes
+    ----------
+    links : LinkTable
+        Present streams.
+    freshness : Freshness
+        Age of the platform's last confirmation.
+    actions : list of Action
+        Actions that were not handed out yet.
+    last_failure : Failure or None
+        Last reported failure.
+    n_refused_older : int
+        Offers of an older or conflicting version.
+    """
+
+    def __init__(
+        self, *, settings: NodeSettings, random_source: Random, now: float
+    ) -> None:
+        self.settings = settings
+        self.random_source = random_source
+        self.now = now
+        self.links = LinkTable()
+        self.freshness = Freshness()
+        self.actions: list[Action] = []
+        self.link_ids = count(1)
+        self.last_failure: Failure | None = None
+        self.n_refused_older = 0
+
+    def send(self, link: Link, message: Any) -> None:
+        """Send a message over a stream."""
+        link.sent_s = self.now
+        self.actions.append(Send(link_id=link.link_id, message=message))
+
+    def close(self, link: Link) -> None:
+        """Forget a stream and close it."""
+        self.links.links.pop(link.link_id, None)
+        self.actions.append(CloseLink(link_id=link.link_id))
+
+    def report(self, failure: Failure) -> None:
+        """Record a failure."""
+        self.last_failure = failure
+        self.actions.append(Report(failure=failure))
+
+    def fail(self, step: Step, kind: FailureKind, *, peer: str, detail: str) -> None:
+        """Record a failure that arose in the core itself."""
+        self.report(Failure(step=step, kind=kind, peer=peer, detail=detail))
--- /dev/null
+++ b/foxtailway/distribution/downlink.py
@@ -0,0 +1,150 @@
+"""Streams that other nodes open: children, and guests that only ask."""
+
+from foxtailway.common.failure import Step
+from foxtailway.distribution.action import CloseLink, Send
+from foxtailway.distribution.admission import REFUSAL_FAILURES, Admission
+from foxtailway.distribution.context import CoreContext
+from foxtailway.distribution.exchange import VersionExchange
+from foxtailway.distribution.link import Link, LinkRole
+from foxtailway.distribution.message import (
+    ControlHello,
+    PeerAddress,
+    Purpose,
+    RefusedReason,
+    SubscriptionRefused,
+    Welcome,
+)
+from foxtailway.distribution.placement import Topology
+
+__all__ = ["Downlink"]
+
+N_ALTERNATES = 4
+BUSY_RETRY_S = 1.0
+
+
+class Downlink:
+    """Welcome or refuse the nodes that open a control stream.
+
+    Parameters
+    ----------
+    context : CoreContext
+        State shared by the parts of the core.
+    exchange : VersionExchange
+        Versions of the node.
+    """
+
+    def __init__(self, *, context: CoreContext, exchange: VersionExchange) -> None:
+        self.context = context
+        self.exchange = exchange
+        self.admission = Admission(settings=context.settings, links=context.links)
+        self.is_stopping = False
+        self.topology: Topology | None = None
+        self.zone_peers: dict[str, list[PeerAddress]] | None = None
+        self.unconfirmed_until_s = 0.0
+
+    def place(self, topology: Topology) -> None:
+        """Name hosts of a new topology as alternates from now on."""
+        self.topology = topology
+        self.zone_peers = None
+
+    def accept(self, link_id: int, hello: ControlHello) -> None:
+        """Answer a hello."""
+        reason = self.find_refusal(hello)
+        if reason is not None:
+            self.refuse(link_id, hello, reason)
+            return
+        needs_full_transfer = self.exchange.needs_full_transfer(hello.held)
+        judged = self.admission.judge(hello, needs_full_transfer=needs_full_transfer)
+        if judged.is_error():
+            self.refuse(link_id, hello, judged.error)
+            return
+        self.welcome(link_id, hello, role=judged.ok)
+
+    def find_refusal(self, hello: ControlHello) -> RefusedReason | None:
+        """Return why no node is fed at present, or None."""
+        if self.is_stopping:
+            return RefusedReason.STOPPING
+        if hello.purpose is Purpose.FEED and self.is_unconfirmed():
+            return RefusedReason.UNCONFIRMED
+        return None
+
+    def is_unconfirmed(self) -> bool:
+        """Tell whether the node woke up and has not confirmed its view yet."""
+        if self.context.now >= self.unconfirmed_until_s:
+            return False
+        return self.context.freshness.confirmed_s is None
+
+    def welcome(self, link_id: int, hello: ControlHello, *, role: LinkRole) -> None:
+        """Take in a stream, in place of an older one of the same child."""
+        previous = self.context.links.find_child(hello.host_id)
+        if previous is not None and role is LinkRole.CHILD:
+            self.context.close(previous)
+        now = self.context.now
+        link = Link(
+            link_id=link_id,
+            role=role,
+            target=None,
+            host_id=hello.host_id,
+            is_welcome=True,
+            opened_s=now,
+            heard_s=now,
+            sent_s=now,
+            staged=frozenset(hello.staged),
+        )
+        link.replace_known(hello.held)
+        self.context.links.links[link_id] = link
+        message = Welcome(
+            host_id=self.context.settings.host.host_id,
+            held=self.exchange.list_held(),
+            beacon=self.context.freshness.beacon(now),
+        )
+        self.context.send(link, message)
+        self.exchange.feed(link)
+
+    def refuse(self, link_id: int, hello: ControlHello, reason: RefusedReason) -> None:
+        """Refuse a hello early and name other nodes to try."""
+        if reason in REFUSAL_FAILURES:
+            self.context.fail(
+                Step.HELLO,
+                REFUSAL_FAILURES[reason],
+                peer=hello.host_id,
+                detail=f"mesh {hello.mesh}, protocol {hello.protocol_version}",
+            )
+        refusal = SubscriptionRefused(
+            reason=reason,
+            retry_after_s=self.draw_retry_after_s(reason),
+            alternates=self.list_alternates(hello),
+        )
+        self.context.actions.append(Send(link_id=link_id, message=refusal))
+        self.context.actions.append(CloseLink(link_id=link_id))
+
+    def draw_retry_after_s(self, reason: RefusedReason) -> float:
+        """Return the time after which a refused node may come again."""
+        longest_s = self.context.settings.distribution.retry_max_s
+        if reason in (RefusedReason.BUSY, RefusedReason.UNCONFIRMED):
+            longest_s = min(BUSY_RETRY_S, longest_s)
+        return longest_s * self.context.random_source.uniform(0.5, 1.0)
+
+    def list_alternates(self, hello: ControlHello) -> tuple[PeerAddress, ...]:
+        """Return some hosts of the refused node's zone."""
+        if hello.mesh != self.context.settings.host.mesh:
+            return ()
+        peers = self.group_peers().get(hello.zone, [])
+        own_id = self.context.settings.host.host_id
+        chosen = self.context.random_source.sample(
+            peers, k=min(len(peers), N_ALTERNATES)
+        )
+        return tuple(
+            peer for peer in chosen if peer.host_id not in (own_id, hello.host_id)
+        )
+
+    def group_peers(self) -> dict[str, list[PeerAddress]]:
+        """Return the hosts of the topology by zone, grouped on first use."""
+        if self.zone_peers is None:
+            self.zone_peers = {}
+            for host in self.topology.hosts if self.topology else ():
+                peer = PeerAddress(
+                    host_id=host.host_id, address=host.address, port=host.mesh_port
+                )
+                self.zone_peers.setdefault(host.zone, []).append(peer)
+        return self.zone_peers
--- /dev/null
+++ b/foxtailway/distribution/history.py
@@ -0,0 +1,113 @@
+"""Versions that a node holds, has held or has rejected."""
+
+from collections import OrderedDict, deque
+from enum import Enum
+
+from foxtailway.distribution.message import HeldVersion
+from foxtailway.model.bundle import Bundle, BundleKind
+from foxtailway.model.version import Version, VersionOrder, compare_versions
+
+__all__ = ["Judgement", "VersionHistory"]
+
+MAX_HISTORY_BYTES = 8_388_608
+N_REJECTED = 256
+
+
+class Judgement(Enum):
+    """What a node thinks of an offered version."""
+
+    NEWER = "newer"
+    SAME = "same"
+    OLDER = "older"
+    CONFLICT = "conflict"
+    REJECTED = "rejected"
+
+
+class VersionHistory:
+    """Keep the held version of one kind and a bounded number before it.
+
+    Successive bundles share the documents that did not change, so only the
+    changed documents count towards the bound.
+
+    Parameters
+    ----------
+    kind : BundleKind
+        Sequence of versions.
+    max_bytes : int, default=8388608
+        Largest size of the documents kept beside the held bundle, in bytes.
+
+    Attributes
+    ----------
+    held : Bundle or None
+        Bundle in force.
+    """
+
+    def __init__(self, *, kind: BundleKind, max_bytes: int = MAX_HISTORY_BYTES) -> None:
+        self.kind = kind
+        self.max_bytes = max_bytes
+        self.held: Bundle | None = None
+        self.recent: deque[Bundle] = deque()
+        self.sizes: deque[int] = deque()
+        self.rejected: OrderedDict[bytes, None] = OrderedDict()
+
+    @property
+    def version(self) -> Version | None:
+        """Return the held version."""
+        return self.held.version if self.held else None
+
+    def judge(self, version: Version) -> Judgement:
+        """Compare an offered version with the held and the rejected ones."""
+        if version.digest in self.rejected:
+            return Judgement.REJECTED
+        order = compare_versions(held=self.version, offered=version)
+        return Judgement(order.value)
+
+    def accept(self, bundle: Bundle) -> None:
+        """Make `bundle` the held one; it must be newer.
+
+        Raises
+        ------
+        ValueError
+            If the bundle is not newer than the held one.
+        """
+        order = compare_versions(held=self.version, offered=bundle.version)
+        if order is not VersionOrder.NEWER:
+            raise ValueError(f"{bundle.version} is not newer than {self.version}")
+        self.held = bundle
+        self.remember(bundle)
+
+    def reject(self, bundle: Bundle) -> None:
+        """Never take `bundle` again, but keep it as base of later updates."""
+        self.rejected[bundle.version.digest] = None
+        while len(self.rejected) > N_REJECTED:
+            self.rejected.popitem(last=False)
+        self.remember(bundle)
+
+    def remember(self, bundle: Bundle) -> None:
+        """Add a bundle and drop the oldest ones beyond the bound."""
+        known = set()
+        if self.recent:
+            known = {document.digest for document in self.recent[-1].documents}
+        n_bytes = sum(
+            len(document.content)
+            for document in bundle.documents
+            if document.digest not in known
+        )
+        self.recent.append(bundle)
+        self.sizes.append(n_bytes)
+        while len(self.recent) > 1 and sum(self.sizes) - self.sizes[0] > self.max_bytes:
+            self.recent.popleft()
+            self.sizes.popleft()
+
+    def find(self, digest: bytes | None) -> Bundle | None:
+        """Return the remembered bundle whose version has `digest`."""
+        for bundle in reversed(self.recent):
+            if bundle.version.digest == digest:
+                return bundle
+        return None
+
+    def list_held(self) -> tuple[HeldVersion, ...]:
+        """Return the held version as field of a message."""
+        if self.held is None:
+            return ()
+        return (HeldVersion(kind=self.kind, version=self.held.version),)
--- /dev/null
+++ b/foxtailway/distribution/outbox.py
@@ -0,0 +1,99 @@
+"""Messages waiting to be sent over one stream."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from foxtailway.common.failure import Failure
+from foxtailway.distribution.message import Heartbeat, UpdatePart
+from foxtailway.model.bundle import BundleKind
+from foxtailway.transport import MessageStream
+
+__all__ = ["Outbox"]
+
+MAX_QUEUED = 64
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QueuedUpdate:
+    """Hold the parts of one update."""
+
+    kind: BundleKind
+    parts: tuple[UpdatePart, ...]
+
+
+class Outbox:
+    """Send messages in order without making others wait.
+
+    At most one update of each kind is queued, since the core starts the next
+    one only after the last was sent, and a heartbeat replaces one that still
+    waits, so the queue of a slow peer stays bounded.
+
+    Parameters
+    ----------
+    stream : MessageStream
+        Stream to send over.
+    on_update_sent : callable
+        Called with the kind when all parts of an update were sent.
+    """
+
+    def __init__(
+        self,
+        *,
+        stream: MessageStream,
+        on_update_sent: Callable[[BundleKind], None],
+    ) -> None:
+        self.stream = stream
+        self.on_update_sent = on_update_sent
+        self.queue: deque[Any] = deque()
+        self.wake = asyncio.Event()
+        self.is_closing = False
+
+    def put(self, message: Any) -> None:
+        """Queue a message."""
+        if isinstance(message, Heartbeat):
+            self.queue = deque(
+                item for item in self.queue if not isinstance(item, Heartbeat)
+            )
+        if len(self.queue) >= MAX_QUEUED:
+            self.stream.close()
+            return
+        self.queue.append(message)
+        self.wake.set()
+
+    def put_update(self, kind: BundleKind, parts: tuple[UpdatePart, ...]) -> None:
+        """Queue all parts of an update."""
+        self.put(QueuedUpdate(kind=kind, parts=parts))
+
+    def close(self) -> None:
+        """Close the stream once the queue is empty."""
+        self.is_closing = True
+        self.wake.set()
+
+    async def run(self) -> Result[None, Failure]:
+        """Send until closed; return the failure that ended the stream early."""
+        while True:
+            while self.queue:
+                sent = await self.send(self.queue.popleft())
+                if sent.is_error():
+                    return Error(sent.error)
+            if self.is_closing:
+                self.stream.close()
+                return Ok(None)
+            self.wake.clear()
+            await self.wake.wait()
+
+    async def send(self, item: Any) -> Result[None, Failure]:
+        """Send one queued item."""
+        if not isinstance(item, QueuedUpdate):
+            return await self.stream.send(item)
+        for part in item.parts:
+            sent = await self.stream.send(part)
+            if sent.is_error():
+                return sent
+        self.on_update_sent(item.kind)
+        return Ok(None)
