Add route table, load balancer, admission and retry policy

Cause: the call path needs its decisions as a core without I/O. Change: longest-prefix route table; zone-aware balancer with two random choices, spill-over by refusals, slow start, ejection and draining; admission queue with limits, queue orders and a saturation breaker; retry budget and policy. Defaults of the admission queue are not measured yet.

--- /dev/null
+++ b/foxtailway/routing/admission.py
@@ -0,0 +1,316 @@
+"""Admission of calls to the upstream beside the node."""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from foxtailway.routing.limit import LimitPolicy
+from foxtailway.routing.outcome import Outcome, Refusal, RefusalReason
+from foxtailway.routing.queue_policy import (
+    NeverShed,
+    OldestFirst,
+    QueueOrder,
+    ShedPolicy,
+)
+
+__all__ = ["AdmissionDecision", "AdmissionQueue", "Admitted", "PendingCall", "Rejected"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PendingCall:
+    """Describe a call that asks for a slot of the upstream.
+
+    Parameters
+    ----------
+    call_id : str
+        Identifier, unique among the calls at the node.
+    caller : str
+        Service or client on whose behalf the call is made.
+    priority : int
+        Priority; 0 is served first.
+    deadline : float
+        Time at which the caller gives up, in seconds.
+    """
+
+    call_id: str
+    caller: str
+    priority: int
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Admitted:
+    """Let a call run; the slot is held until its release."""
+
+    call_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Rejected:
+    """Refuse a call that did not run."""
+
+    call_id: str
+    refusal: Refusal
+
+
+AdmissionDecision = Admitted | Rejected
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WaitingCall:
+    """Hold a call in the queue."""
+
+    call: PendingCall
+    sequence: int
+    expires_at: float
+
+
+class AdmissionQueue:
+    """Guard the slots of one upstream with a limit and a short queue.
+
+    Parameters
+    ----------
+    host_id : str
+        Host of the upstream, named in refusals.
+    limit_policy : LimitPolicy
+        Number of calls that may run.
+    n_queued : int
+        Calls that may wait.
+    queue_timeout_s : float
+        Longest wait, in seconds.
+    queue_order : QueueOrder, optional
+        Order of calls of the same priority and caller.
+    shed_policy : ShedPolicy, optional
+        Refusal of all calls under saturation.
+
+    Notes
+    -----
+    Freed slots go to the lowest priority value, then to the caller that has
+    the fewest calls running. A full queue drops a call of the highest priority
+    value and, within it, of the caller that has the most calls waiting; this
+    may be the new call itself. Every rejected call truly did not run. All
+    methods that change the queue return decisions, possibly about other calls
+    than the one they were called for.
+    """
+
+    def __init__(
+        self,
+        *,
+        host_id: str,
+        limit_policy: LimitPolicy,
+        n_queued: int,
+        queue_timeout_s: float,
+        queue_order: QueueOrder | None = None,
+        shed_policy: ShedPolicy | None = None,
+    ) -> None:
+        self.host_id = host_id
+        self.limit_policy = limit_policy
+        self.n_queued = n_queued
+        self.queue_timeout_s = queue_timeout_s
+        self.queue_order = queue_order or OldestFirst()
+        self.shed_policy = shed_policy or NeverShed()
+        self.running: dict[str, PendingCall] = {}
+        self.waiting: dict[str, WaitingCall] = {}
+        self.n_running_by_caller: Counter[str] = Counter()
+        self.n_waiting_by_caller: Counter[str] = Counter()
+        self.n_offered = 0
+        self.is_draining = False
+
+    def start_draining(self) -> None:
+        """Refuse new calls from now on; waiting and running ones go on."""
+        self.is_draining = True
+
+    def offer(self, call: PendingCall, now: float) -> tuple[AdmissionDecision, ...]:
+        """Ask for a slot.
+
+        Parameters
+        ----------
+        call : PendingCall
+            Call that is neither waiting nor running.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        tuple of AdmissionDecision
+            Decisions made at once; none about `call` while it waits.
+        """
+        if self.is_draining:
+            return (self.reject(call, RefusalReason.DRAINING, 0.0),)
+        if call.deadline <= now:
+            return (self.reject(call, RefusalReason.EXPIRED, 0.0),)
+        refuse_for_s = self.shed_policy.refuse_for_s(now)
+        if refuse_for_s > 0.0:
+            return (self.reject(call, RefusalReason.OVERLOADED, refuse_for_s),)
+        decisions = list(self.expire(now))
+        self.queue_order.is_newest_first(n_waiting=len(self.waiting), now=now)
+        self.enqueue(call, now)
+        decisions.extend(self.fill_slots(now))
+        if len(self.waiting) > self.n_queued:
+            decisions.append(self.drop_one(now))
+        return tuple(decisions)
+
+    def release(
+        self, call_id: str, now: float, latency_s: float, is_success: bool
+    ) -> tuple[AdmissionDecision, ...]:
+        """Return the slot of a call that ended and hand it on.
+
+        Parameters
+        ----------
+        call_id : str
+            Admitted call; unknown ones are ignored.
+        now : float
+            Time in seconds.
+        latency_s : float
+            Time that the upstream took, in seconds.
+        is_success : bool
+            Whether the upstream answered.
+
+        Returns
+        -------
+        tuple of AdmissionDecision
+            Decisions about waiting calls.
+        """
+        call = self.running.get(call_id)
+        if call is None:
+            return ()
+        self.limit_policy.record(
+            latency_s=latency_s,
+            is_success=is_success,
+            n_running=len(self.running),
+            now=now,
+        )
+        self.forget_running(call)
+        return (*self.expire(now), *self.fill_slots(now))
+
+    def cancel(self, call_id: str, now: float) -> tuple[AdmissionDecision, ...]:
+        """Forget a call whose caller went away, waiting or running.
+
+        A running call gives up its slot, so it must have been stopped first.
+        """
+        waiting = self.waiting.get(call_id)
+        if waiting is not None:
+            self.forget_waiting(waiting)
+            return ()
+        call = self.running.get(call_id)
+        if call is None:
+            return ()
+        self.forget_running(call)
+        return (*self.expire(now), *self.fill_slots(now))
+
+    def expire(self, now: float) -> tuple[AdmissionDecision, ...]:
+        """Reject the calls that waited too long."""
+        late = [entry for entry in self.waiting.values() if entry.expires_at <= now]
+        decisions = []
+        for entry in late:
+            if entry.call.call_id not in self.waiting:
+                continue
+            decisions.append(self.reject_late(entry, now))
+            if self.shed_policy.record_timeout(now):
+                decisions.extend(self.shed_queue(now))
+        return tuple(decisions)
+
+    def next_expiry(self) -> float | None:
+        """Return the time at which `expire` has work, or None."""
+        return min((entry.expires_at for entry in self.waiting.values()), default=None)
+
+    def enqueue(self, call: PendingCall, now: float) -> None:
+        """Append a call to the queue."""
+        self.n_offered += 1
+        self.waiting[call.call_id] = WaitingCall(
+            call=call,
+            sequence=self.n_offered,
+            expires_at=min(call.deadline, now + self.queue_timeout_s),
+        )
+        self.n_waiting_by_caller[call.caller] += 1
+
+    def fill_slots(self, now: float) -> list[AdmissionDecision]:
+        """Admit waiting calls while slots are free."""
+        decisions: list[AdmissionDecision] = []
+        while self.waiting and len(self.running) < self.limit_policy.limit():
+            entry = self.select_next(now)
+            self.forget_waiting(entry)
+            self.running[entry.call.call_id] = entry.call
+            self.n_running_by_caller[entry.call.caller] += 1
+            self.shed_policy.record_admission(now)
+            decisions.append(Admitted(call_id=entry.call.call_id))
+        return decisions
+
+    def select_next(self, now: float) -> WaitingCall:
+        """Return the waiting call that gets the next slot."""
+        sign = self.sequence_sign(now)
+        return min(
+            self.waiting.values(),
+            key=lambda entry: (
+                entry.call.priority,
+                self.n_running_by_caller[entry.call.caller],
+                sign * entry.sequence,
+            ),
+        )
+
+    def drop_one(self, now: float) -> Rejected:
+        """Reject the waiting call that the queue can best do without."""
+        sign = self.sequence_sign(now)
+        entry = max(
+            self.waiting.values(),
+            key=lambda entry: (
+                entry.call.priority,
+                self.n_waiting_by_caller[entry.call.caller],
+                sign * entry.sequence,
+            ),
+        )
+        self.forget_waiting(entry)
+        return self.reject(entry.call, RefusalReason.OVERLOADED, self.queue_timeout_s)
+
+    def sequence_sign(self, now: float) -> int:
+        """Return 1 when older calls are served first, otherwise -1."""
+        is_newest_first = self.queue_order.is_newest_first(
+            n_waiting=len(self.waiting), now=now
+        )
+        return -1 if is_newest_first else 1
+
+    def shed_queue(self, now: float) -> list[AdmissionDecision]:
+        """Reject all waiting calls."""
+        entries = list(self.waiting.values())
+        retry_after_s = self.queue_timeout_s
+        for entry in entries:
+            self.forget_waiting(entry)
+        return [
+            self.reject(entry.call, RefusalReason.OVERLOADED, retry_after_s)
+            for entry in entries
+        ]
+
+    def reject_late(self, entry: WaitingCall, now: float) -> Rejected:
+        """Reject a call whose wait is over."""
+        self.forget_waiting(entry)
+        if entry.call.deadline <= now:
+            return self.reject(entry.call, RefusalReason.EXPIRED, 0.0)
+        return self.reject(entry.call, RefusalReason.OVERLOADED, self.queue_timeout_s)
+
+    def forget_waiting(self, entry: WaitingCall) -> None:
+        """Remove a call from the queue."""
+        del self.waiting[entry.call.call_id]
+        decrement(self.n_waiting_by_caller, entry.call.caller)
+
+    def forget_running(self, call: PendingCall) -> None:
+        """Give back the slot of a call."""
+        del self.running[call.call_id]
+        decrement(self.n_running_by_caller, call.caller)
+
+    def reject(
+        self, call: PendingCall, reason: RefusalReason, retry_after_s: float
+    ) -> Rejected:
+        """Return the rejection of a call."""
+        refusal = Refusal(
+            outcome=Outcome.NOT_RUN,
+            reason=reason,
+            retry_after_s=retry_after_s,
+            host_id=self.host_id,
+        )
+        return Rejected(call_id=call.call_id, refusal=refusal)
+
+
+def decrement(counter: Counter[str], name: str) -> None:
+    """Count down and forget names that reach zero."""
+    counter[name] -= 1
+    if counter[name] <= 0:
+        del counter[name]
--- /dev/null
+++ b/foxtailway/routing/retry.py
@@ -0,0 +1,146 @@
+"""Retries of calls that did not run."""
+
+from dataclasses import dataclass
+from random import Random
+
+from foxtailway.model.snapshot import Route
+from foxtailway.routing.outcome import Outcome, Refusal, RefusalReason
+
+__all__ = ["RetryBudget", "RetryDecision", "RetryPolicy"]
+
+RETRIED_REASONS = frozenset(
+    (
+        RefusalReason.OVERLOADED,
+        RefusalReason.DRAINING,
+        RefusalReason.NOT_READY,
+        RefusalReason.QUARANTINED,
+        RefusalReason.LOST,
+    )
+)
+BACKOFF_BASE_S = 0.01
+BACKOFF_MAX_S = 0.25
+
+
+class RetryBudget:
+    """Bound the retries towards one cluster by a share of its calls.
+
+    Parameters
+    ----------
+    ratio : float
+        Retries earned by each call, between 0 and 1.
+    n_minimum : int, default=3
+        Retries available before any call was made.
+    n_maximum : int, default=20
+        Retries that may be saved up.
+
+    Notes
+    -----
+    After ``n`` calls at most ``ratio * n + n_minimum`` retries were allowed.
+    """
+
+    def __init__(
+        self, *, ratio: float, n_minimum: int = 3, n_maximum: int = 20
+    ) -> None:
+        self.ratio = ratio
+        self.n_maximum = max(n_minimum, n_maximum)
+        self.n_available = float(n_minimum)
+
+    def record_call(self, now: float) -> None:
+        """Earn a share of a retry; to be called once per call, not per retry."""
+        self.n_available = min(self.n_maximum, self.n_available + self.ratio)
+
+    def allows_retry(self, now: float) -> bool:
+        """Take one retry out of the budget; False when there is none."""
+        if self.n_available < 1.0:
+            return False
+        self.n_available -= 1.0
+        return True
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RetryDecision:
+    """Tell whether and when a call is tried again.
+
+    Parameters
+    ----------
+    is_retried : bool
+        Whether the call is tried again.
+    delay_s : float
+        Time to wait before that, in seconds.
+    """
+
+    is_retried: bool
+    delay_s: float
+
+
+GIVE_UP = RetryDecision(is_retried=False, delay_s=0.0)
+
+
+class RetryPolicy:
+    """Decide on retries at the node that chose the endpoint.
+
+    Parameters
+    ----------
+    random_source : Random
+        Source of the jitter.
+
+    Notes
+    -----
+    Only the node that accepted the call from its caller retries it; the node
+    beside the upstream never does. An attempt that did not run made no calls
+    of its own, so retries of one layer do not multiply those of the next: with
+    a budget of ``ratio`` at every node, all attempts along a chain of any depth
+    stay below ``1 + ratio`` times the calls. For this to hold, the answer of an
+    upstream counts as having run, whatever its status.
+    """
+
+    def __init__(self, *, random_source: Random) -> None:
+        self.random_source = random_source
+
+    def decide(
+        self,
+        *,
+        refusal: Refusal,
+        route: Route,
+        n_attempts: int,
+        deadline: float,
+        budget: RetryBudget,
+        now: float,
+    ) -> RetryDecision:
+        """Decide whether a refused call is tried again.
+
+        Parameters
+        ----------
+        refusal : Refusal
+            Refusal of the last attempt.
+        route : Route
+            Route of the call.
+        n_attempts : int
+            Attempts made so far, at least 1.
+        deadline : float
+            Time at which the caller gives up, in seconds.
+        budget : RetryBudget
+            Budget of the cluster; charged when the call is tried again.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        RetryDecision
+            Retry after a jittered backoff, or give up.
+        """
+        if refusal.outcome is not Outcome.NOT_RUN:
+            return GIVE_UP
+        if refusal.reason not in RETRIED_REASONS or n_attempts > route.n_retries:
+            return GIVE_UP
+        delay_s = self.draw_delay(refusal.reason, n_attempts)
+        if now + delay_s >= deadline or not budget.allows_retry(now):
+            return GIVE_UP
+        return RetryDecision(is_retried=True, delay_s=delay_s)
+
+    def draw_delay(self, reason: RefusalReason, n_attempts: int) -> float:
+        """Return the backoff in seconds; none when only one host is concerned."""
+        if reason is not RefusalReason.OVERLOADED:
+            return 0.0
+        longest_s = min(BACKOFF_MAX_S, BACKOFF_BASE_S * 2.0 ** (n_attempts - 1))
+        return self.random_source.random() * longest_s
--- /dev/null
+++ b/foxtailway/routing/tests/test_admission.py
@@ -0,0 +1,204 @@
+import unittest
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from foxtailway.routing import (
+    AdaptiveLimit,
+    AdmissionDecision,
+    AdmissionQueue,
+    Admitted,
+    FixedLimit,
+    NewestFirstUnderOverload,
+    Outcome,
+    PendingCall,
+    QueueOrder,
+    RefusalReason,
+    Rejected,
+    SaturationBreaker,
+    ShedPolicy,
+)
+
+N_SLOTS = 2
+N_QUEUED = 3
+QUEUE_TIMEOUT_S = 4.0
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["offer", "offer", "offer", "release", "cancel", "wait"]),
+        st.integers(0, 5),
+        st.sampled_from(["loud", "quiet"]),
+        st.integers(0, 1),
+    ),
+    min_size=15,
+    max_size=40,
+)
+
+
+def make_queue(
+    order: QueueOrder | None = None, shed: ShedPolicy | None = None
+) -> AdmissionQueue:
+    return AdmissionQueue(
+        host_id="host",
+        limit_policy=FixedLimit(n_slots=N_SLOTS),
+        n_queued=N_QUEUED,
+        queue_timeout_s=QUEUE_TIMEOUT_S,
+        queue_order=order,
+        shed_policy=shed,
+    )
+
+
+def make_call(
+    call_id: str, caller: str = "caller", priority: int = 0, deadline: float = 100.0
+) -> PendingCall:
+    return PendingCall(
+        call_id=call_id, caller=caller, priority=priority, deadline=deadline
+    )
+
+
+def summarise(decisions: tuple[AdmissionDecision, ...]) -> list[str]:
+    return [
+        decision.call_id
+        if isinstance(decision, Admitted)
+        else f"{decision.call_id}:{decision.refusal.reason.value}"
+        for decision in decisions
+    ]
+
+
+class NaiveQueue:
+    """Recompute every decision from plain lists of (call, expiry)."""
+
+    def __init__(self) -> None:
+        self.running: list[PendingCall] = []
+        self.waiting: list[tuple[PendingCall, float]] = []
+
+    def step(self, now: float) -> list[str]:
+        log = []
+        for call, expiry in list(self.waiting):
+            if expiry <= now:
+                self.waiting.remove((call, expiry))
+                reason = "expired" if call.deadline <= now else "overloaded"
+                log.append(f"{call.call_id}:{reason}")
+        while self.waiting and len(self.running) < N_SLOTS:
+            callers = Counter(call.caller for call in self.running)
+            ranks = [(call.priority, callers[call.caller]) for call, _ in self.waiting]
+            call, _ = self.waiting.pop(ranks.index(min(ranks)))
+            self.running.append(call)
+            log.append(call.call_id)
+        if len(self.waiting) > N_QUEUED:
+            callers = Counter(call.caller for call, _ in self.waiting)
+            ranks = [(call.priority, callers[call.caller]) for call, _ in self.waiting]
+            worst = max(index for index, rank in enumerate(ranks) if rank == max(ranks))
+            log.append(f"{self.waiting.pop(worst)[0].call_id}:overloaded")
+        return log
+
+
+class AdmissionQueueTest(unittest.TestCase):
+    @given(STEPS)
+    def test_equals_a_recomputed_queue(self, steps: list[tuple]) -> None:
+        queue, naive = make_queue(), NaiveQueue()
+        now = 0.0
+        for index, (action, number, caller, priority) in enumerate(steps):
+            known = naive.running + [call for call, _ in naive.waiting]
+            target = known[number % len(known)].call_id if known else "none"
+            if action == "offer":
+                call = make_call(str(index), caller, priority, now + 1.0 + number)
+                naive.waiting.append((call, min(call.deadline, now + QUEUE_TIMEOUT_S)))
+                decisions = queue.offer(call, now)
+            elif action == "release":
+                n_running = len(naive.running)
+                naive.running = [c for c in naive.running if c.call_id != target]
+                decisions = queue.release(target, now, 0.1, True)
+                if len(naive.running) == n_running:
+                    self.assertEqual(decisions, ())
+                    continue
+            elif action == "cancel":
+                n_running = len(naive.running)
+                naive.running = [c for c in naive.running if c.call_id != target]
+                naive.waiting = [w for w in naive.waiting if w[0].call_id != target]
+                decisions = queue.cancel(target, now)
+                if len(naive.running) == n_running:
+                    self.assertEqual(decisions, ())
+                    continue
+            else:
+                now += number
+                decisions = queue.expire(now)
+            self.assertEqual(summarise(decisions), naive.step(now))
+            expiries = [expiry for _, expiry in naive.waiting]
+            self.assertEqual(queue.next_expiry(), min(expiries, default=None))
+
+    def test_deadline_is_checked_again_at_admission(self) -> None:
+        queue = make_queue()
+        for name in "ab":
+            queue.offer(make_call(name), 0.0)
+        queue.offer(make_call("late", deadline=1.0), 0.0)
+        decisions = queue.release("a", 2.0, 2.0, True)
+        self.assertEqual(summarise(decisions), ["late:expired"])
+        self.assertIs(decisions[0].refusal.outcome, Outcome.NOT_RUN)
+        self.assertEqual(len(queue.running), 1)
+
+    def test_quiet_caller_is_served_beside_a_loud_one(self) -> None:
+        queue = make_queue()
+        for index in range(50):
+            queue.offer(make_call(f"loud-{index}", "loud"), 0.0)
+        self.assertEqual(
+            queue.offer(make_call("quiet", "quiet"), 0.0)[0].call_id[:4], "loud"
+        )
+        decisions = queue.release("loud-0", 0.1, 0.1, True)
+        self.assertEqual(summarise(decisions), ["quiet"])
+
+    def test_draining_refuses_new_calls_and_ends_waiting_ones(self) -> None:
+        queue = make_queue()
+        for name in "abc":
+            queue.offer(make_call(name), 0.0)
+        queue.start_draining()
+        (decision,) = queue.offer(make_call("d"), 0.0)
+        self.assertIs(decision.refusal.reason, RefusalReason.DRAINING)
+        self.assertEqual(summarise(queue.release("a", 0.1, 0.1, True)), ["c"])
+
+    def test_newest_is_first_only_under_overload(self) -> None:
+        queue = make_queue(NewestFirstUnderOverload(interval_s=1.0))
+        for index in range(5):
+            queue.offer(make_call(str(index)), 0.0)
+        self.assertEqual(summarise(queue.release("0", 0.5, 0.5, True)), ["2"])
+        queue.offer(make_call("new"), 0.6)
+        self.assertEqual(summarise(queue.release("1", 1.5, 0.5, True)), ["new"])
+
+    def test_breaker_sheds_probes_and_closes(self) -> None:
+        queue = make_queue(shed=SaturationBreaker(cooldown_s=1.0, n_minimum=2))
+        for index in range(4):
+            queue.offer(make_call(str(index)), 0.0)
+        queue.offer(make_call("fresh"), 2.0)
+        decisions = queue.expire(QUEUE_TIMEOUT_S)
+        self.assertEqual(
+            [decision.call_id for decision in decisions], ["2", "3", "fresh"]
+        )
+        (decision,) = queue.offer(make_call("shed"), QUEUE_TIMEOUT_S + 0.5)
+        self.assertIsInstance(decision, Rejected)
+        self.assertEqual(queue.offer(make_call("probe"), 5.5), ())
+        (decision,) = queue.offer(make_call("second"), 5.5)
+        self.assertIsInstance(decision, Rejected)
+        self.assertEqual(summarise(queue.release("0", 5.6, 5.6, True)), ["probe"])
+        self.assertEqual(queue.offer(make_call("next"), 5.6), ())
+
+
+class AdaptiveLimitTest(unittest.TestCase):
+    @given(st.lists(st.tuples(st.floats(0.001, 10.0), st.booleans()), max_size=60))
+    def test_stays_between_its_bounds(self, calls: list[tuple[float, bool]]) -> None:
+        policy = AdaptiveLimit(n_slots=10)
+        for index, (latency_s, is_success) in enumerate(calls):
+            policy.record(
+                latency_s=latency_s, is_success=is_success, n_running=5, now=index
+            )
+            self.assertTrue(2 <= policy.limit() <= 10)
+
+    def test_falls_with_latency_and_recovers(self) -> None:
+        policy = AdaptiveLimit(n_slots=10)
+        limits = []
+        for latency_s in (0.01, 0.1, 0.01):
+            for _ in range(200):
+                policy.record(
+                    latency_s=latency_s, is_success=True, n_running=10, now=0.0
+                )
+            limits.append(policy.limit())
+        self.assertEqual(limits, [10, 2, 10])
--- /dev/null
+++ b/foxtailway/routing/zone_balancer.py
@@ -0,0 +1,278 @@
+"""Load balancing that keeps calls in the availability zone while it can."""
+
+from collections.abc import Iterable, Mapping
+from random import Random
+
+from foxtailway.model.host import Host
+from foxtailway.model.snapshot import Cluster
+from foxtailway.routing.balancer import CallObservation, LoadBalancer, ObservationKind
+from foxtailway.routing.endpoint import EndpointState
+
+__all__ = ["ZoneAwareBalancer"]
+
+DRAINING_S = 15.0
+MIN_TIER_SHARE = 0.1
+REFUSAL_DECREASE = 0.1
+RECOVERY_PER_S = 0.05
+N_TIERS = 3
+N_DRAWS = 4
+
+
+class Tier:
+    """Hold the endpoints at one distance and the share of calls they keep."""
+
+    def __init__(self) -> None:
+        self.states: list[EndpointState] = []
+        self.share = 1.0
+        self.updated_at = 0.0
+
+    def recover(self, now: float) -> None:
+        """Raise the share by the time without refusals."""
+        elapsed_s = max(0.0, now - self.updated_at)
+        self.share = min(1.0, self.share + elapsed_s * RECOVERY_PER_S)
+        self.updated_at = now
+
+    def record_refusal(self, now: float) -> None:
+        """Lower the share after a refusal for overload."""
+        self.recover(now)
+        self.share = max(MIN_TIER_SHARE, self.share * (1.0 - REFUSAL_DECREASE))
+
+
+class ClusterState:
+    """Hold the observations of one cluster's endpoints."""
+
+    def __init__(self, *, cluster: Cluster) -> None:
+        self.cluster = cluster
+        self.endpoints: tuple[Host, ...] = ()
+        self.states: dict[str, EndpointState] = {}
+        self.tiers = tuple(Tier() for _ in range(N_TIERS))
+        self.tier_by_host: dict[str, Tier] = {}
+
+    def may_eject(self, now: float) -> bool:
+        """Whether one more endpoint may be ejected."""
+        n_ejected = sum(state.ejected_until > now for state in self.states.values())
+        allowed = self.cluster.max_ejected_ratio * len(self.states)
+        return n_ejected + 1 <= allowed
+
+
+class ZoneAwareBalancer(LoadBalancer):
+    """Prefer near endpoints, then the better of two random ones.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of the node.
+    zone_regions : Mapping of str to str
+        Region of each availability zone.
+    random_source : Random
+        Source of randomness.
+
+    Notes
+    -----
+    Endpoints form three tiers: the own zone, the own region, other regions. A
+    refusal for overload lowers the share of calls that its tier keeps by a
+    tenth, time without refusals raises it; calls beyond the share, and calls
+    that find every slot of the tier taken by this node alone, go to the next
+    tier. Within a tier the cheaper of two random endpoints is chosen, by calls
+    in flight times latency, raised by failures and refusals.
+
+    An endpoint whose calls fail is ejected, up to ``max_ejected_ratio`` of the
+    cluster. Ejected endpoints are used when no other endpoint is left; draining
+    ones never are.
+    """
+
+    def __init__(
+        self, *, zone: str, zone_regions: Mapping[str, str], random_source: Random
+    ) -> None:
+        self.zone = zone
+        self.zone_regions = zone_regions
+        self.random_source = random_source
+        self.clusters: dict[str, ClusterState] = {}
+
+    def update(self, cluster: Cluster, endpoints: tuple[Host, ...], now: float) -> None:
+        """Take over a cluster's settings and its endpoints."""
+        state = self.clusters.get(cluster.name)
+        is_first = state is None
+        if state is None:
+            state = ClusterState(cluster=cluster)
+            self.clusters[cluster.name] = state
+        state.cluster = cluster
+        if state.endpoints == endpoints:
+            return
+        state.endpoints = endpoints
+        ready_at = float("-inf") if is_first else now
+        kept = {}
+        for host in endpoints:
+            previous = state.states.get(host.host_id)
+            if previous is None or is_moved(previous.host, host):
+                previous = EndpointState(host=host, ready_at=ready_at)
+            previous.host = host
+            kept[host.host_id] = previous
+        state.states = kept
+        self.assign_tiers(state)
+
+    def retain(self, cluster_names: frozenset[str]) -> None:
+        """Forget all clusters but the named ones."""
+        for name in self.clusters.keys() - cluster_names:
+            del self.clusters[name]
+
+    def assign_tiers(self, state: ClusterState) -> None:
+        """Sort the endpoints into tiers by distance."""
+        state.tier_by_host = {}
+        for tier in state.tiers:
+            tier.states = []
+        for endpoint in state.states.values():
+            tier = state.tiers[self.measure_distance(endpoint.host.zone)]
+            tier.states.append(endpoint)
+            state.tier_by_host[endpoint.host_id] = tier
+
+    def measure_distance(self, zone: str) -> int:
+        """Return 0 for the own zone, 1 for the own region, 2 for others."""
+        if zone == self.zone:
+            return 0
+        region = self.zone_regions.get(zone)
+        is_near = region is not None and region == self.zone_regions.get(self.zone)
+        return 1 if is_near else 2
+
+    def choose(
+        self,
+        cluster_name: str,
+        excluded: frozenset[str],
+        candidates: frozenset[str] | None,
+        now: float,
+    ) -> Host | None:
+        """Choose the endpoint for one call."""
+        state = self.clusters.get(cluster_name)
+        if state is None:
+            return None
+        return self.choose_by_tier(state, excluded, candidates, now) or self.choose_any(
+            state, excluded, candidates, now
+        )
+
+    def choose_by_tier(
+        self,
+        state: ClusterState,
+        excluded: frozenset[str],
+        candidates: frozenset[str] | None,
+        now: float,
+    ) -> Host | None:
+        """Choose from the nearest tier that has room."""
+        nearest: list[EndpointState] = []
+        for tier in state.tiers:
+            available = [
+                endpoint
+                for endpoint in tier.states
+                if endpoint.ejected_until <= now
+                and endpoint.draining_until <= now
+                and endpoint.host_id not in excluded
+                and (candidates is None or endpoint.host_id in candidates)
+            ]
+            if not available:
+                continue
+            if not nearest:
+                nearest = available
+            if self.has_room(tier, available, state.cluster.n_slots, now):
+                return self.choose_of_two(available, state.cluster, now).host
+        if not nearest:
+            return None
+        return self.choose_of_two(nearest, state.cluster, now).host
+
+    def has_room(
+        self, tier: Tier, available: list[EndpointState], n_slots: int, now: float
+    ) -> bool:
+        """Decide whether the tier keeps one more call."""
+        if all(endpoint.n_in_flight >= n_slots for endpoint in available):
+            return False
+        tier.recover(now)
+        return tier.share >= 1.0 or self.random_source.random() < tier.share
+
+    def choose_any(
+        self,
+        state: ClusterState,
+        excluded: frozenset[str],
+        candidates: frozenset[str] | None,
+        now: float,
+    ) -> Host | None:
+        """Choose among ejected endpoints, since no other is left."""
+        for tier in state.tiers:
+            ejected = [
+                endpoint
+                for endpoint in tier.states
+                if endpoint.draining_until <= now
+                and endpoint.host_id not in excluded
+                and (candidates is None or endpoint.host_id in candidates)
+            ]
+            if ejected:
+                return self.choose_of_two(ejected, state.cluster, now).host
+        return None
+
+    def choose_of_two(
+        self, endpoints: list[EndpointState], cluster: Cluster, now: float
+    ) -> EndpointState:
+        """Return the better of two random endpoints."""
+        if len(endpoints) == 1:
+            return endpoints[0]
+        first = self.draw(endpoints, cluster, now)
+        second = self.draw(endpoints, cluster, now)
+        first.refresh(now)
+        second.refresh(now)
+        return first if first.cost() <= second.cost() else second
+
+    def draw(
+        self, endpoints: list[EndpointState], cluster: Cluster, now: float
+    ) -> EndpointState:
+        """Draw a random endpoint; cold ones are mostly drawn again."""
+        random = self.random_source.random
+        slow_start_s = cluster.slow_start_s
+        for _ in range(N_DRAWS):
+            endpoint = endpoints[int(random() * len(endpoints))]
+            if now - endpoint.ready_at >= slow_start_s:
+                return endpoint
+            if random() < endpoint.warmth(slow_start_s, now):
+                return endpoint
+        return endpoint
+
+    def begin(self, cluster_name: str, host_id: str, now: float) -> None:
+        """Count a call that is about to be sent to an endpoint."""
+        endpoint = self.find_endpoint(cluster_name, host_id)
+        if endpoint is not None:
+            endpoint.n_in_flight += 1
+
+    def finish(
+        self, cluster_name: str, host_id: str, now: float, observation: CallObservation
+    ) -> None:
+        """Learn from the end of a call that was begun."""
+        endpoint = self.find_endpoint(cluster_name, host_id)
+        if endpoint is None:
+            return
+        endpoint.n_in_flight = max(0, endpoint.n_in_flight - 1)
+        endpoint.observe(observation, now)
+        state = self.clusters[cluster_name]
+        if observation.kind is ObservationKind.REFUSED_DRAINING:
+            endpoint.draining_until = now + DRAINING_S
+        if observation.kind is ObservationKind.REFUSED_OVERLOAD:
+            state.tier_by_host[host_id].record_refusal(now)
+        is_ejected = endpoint.ejected_until > now
+        if endpoint.is_failing and not is_ejected and state.may_eject(now):
+            endpoint.eject(now)
+
+    def mark_draining(self, host_id: str, now: float) -> None:
+        """Give a host no new work for some time or until it is listed anew."""
+        for endpoint in self.list_states(host_id):
+            endpoint.draining_until = now + DRAINING_S
+
+    def list_states(self, host_id: str) -> Iterable[EndpointState]:
+        """Return the states of a host in all clusters."""
+        for state in self.clusters.values():
+            if host_id in state.states:
+                yield state.states[host_id]
+
+    def find_endpoint(self, cluster_name: str, host_id: str) -> EndpointState | None:
+        """Return the state of an endpoint, or None when it is not listed."""
+        state = self.clusters.get(cluster_name)
+        return None if state is None else state.states.get(host_id)
+
+
+def is_moved(previous: Host, host: Host) -> bool:
+    """Whether a host listed under the same identifier is another process."""
+    return (previous.address, previous.mesh_port) != (host.address, host.mesh_port)
