--- a/foxtailway/config/overlay.py
+++ b/foxtailway/config/overlay.py
@@ -13,6 +13,7 @@
     read_document,
 )
 from foxtailway.config.typed_section import Entry, Section, read_overlay_section
+from foxtailway.config.value_kind import quote
 from foxtailway.model.bundle import Document
 
 __all__ = ["Overlay", "check_overlay", "merge_entries", "read_overlay"]
@@ -113,7 +114,7 @@
     findings = []
     if overlay.site not in base.sites:
         defect = Defect(
-            problem=f"there is no site '{overlay.site}'",
+            problem=f"there is no site {quote(overlay.site)}",
             allowed="an overlay for a section [site NAME] of the base file",
         )
         findings.append(
--- a/foxtailway/config/section.py
+++ b/foxtailway/config/section.py
@@ -6,10 +6,13 @@
 from dataclasses import dataclass
 
 from foxtailway.config.finding import Defect, Finding
+from foxtailway.config.value_kind import quote
 
-__all__ = ["RawEntry", "RawSection", "parse_section", "split_sections"]
+__all__ = ["RawEntry", "RawSection", "parse_section", "show_key", "split_sections"]
 
 HEADER_BREAK = "\n["
+MAX_HEADER_LENGTH = 80
+MAX_SECTION_LINES = 1000
 HEADER_DEFECT = "a header in square brackets that starts its line and ends it"
 
 
@@ -39,7 +42,8 @@
     Parameters
     ----------
     header : str
-        Text between the brackets.
+        Text between the brackets, quoted when it can't be a valid header;
+        empty for text without a header.
     entries : tuple of RawEntry
         Distinct keys in the order of the file.
     findings : tuple of Finding
@@ -104,6 +108,11 @@
     RawSection
         Section with an empty header when the text holds none.
     """
+    if text.count("\n") > MAX_SECTION_LINES:
+        problem = f"the section has more than {MAX_SECTION_LINES} lines"
+        return RawSection(
+            header="", entries=(), findings=(make_form_finding(1, problem),)
+        )
     parser = LocatingParser()
     findings: list[Finding] = []
     try:
@@ -119,14 +128,27 @@
         findings.append(make_form_finding(1, "the section can't be parsed"))
     header = parser.sections()[0] if parser.sections() else ""
     findings.extend(check_header(text, parser.sections()))
-    findings.extend(find_duplicates(parser.key_lines, header))
+    shown_header = show_header(header)
+    findings.extend(find_duplicates(parser.key_lines, shown_header))
     return RawSection(
-        header=header,
+        header=shown_header,
         entries=collect_entries(parser, header),
         findings=tuple(findings),
     )
 
 
+def show_header(header: str) -> str:
+    """Return a header that is fit for findings."""
+    is_plain = header.isascii() and header.isprintable()
+    return header if is_plain and len(header) <= MAX_HEADER_LENGTH else quote(header)
+
+
+def show_key(key: str) -> str:
+    """Return a key that is fit for findings."""
+    is_plain = key.isascii() and key.replace(".", "").isidentifier()
+    return key if is_plain and len(key) <= MAX_HEADER_LENGTH else quote(key)
+
+
 def make_form_finding(line: int, problem: str) -> Finding:
     """Build a finding about a line that is neither header nor key."""
     allowed = f"comments, 'key = value' and {HEADER_DEFECT}"
@@ -159,7 +181,13 @@
         if first_line != line:
             defect = Defect(problem="the key is a duplicate", allowed="one such key")
             findings.append(
-                Finding(source="", line=line, section=header, key=key, defect=defect)
+                Finding(
+                    source="",
+                    line=line,
+                    section=header,
+                    key=show_key(key),
+                    defect=defect,
+                )
             )
     return findings
 
--- a/foxtailway/config/sectioned_document.py
+++ b/foxtailway/config/sectioned_document.py
@@ -19,6 +19,8 @@
 ]
 
 MAX_DOCUMENT_BYTES = 1_000_000
+MAX_SECTIONS = 8000
+MAX_FINDINGS = 1000
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -89,7 +91,7 @@
     """
     content = document.content
     if len(content) > MAX_DOCUMENT_BYTES:
-        problem = f"the file has {len(content)} bytes"
+        problem = f"the file has more than {MAX_DOCUMENT_BYTES} bytes"
         return Error(make_file_finding(document, 1, problem))
     if not content.strip():
         return Error(make_file_finding(document, 1, "the file is empty"))
@@ -151,6 +153,9 @@
     findings: list[Finding] = []
     n_lines = 0
     for text in split_sections(decoded.ok):
+        if len(sections) >= MAX_SECTIONS or len(findings) >= MAX_FINDINGS:
+            findings.append(make_limit_finding(document, n_lines + 1))
+            break
         section = known.get(text) or by_text.get(text) or read_section(text)
         by_text[text] = section
         sections.append(LocatedSection(section=section, n_lines_ahead=n_lines))
@@ -166,3 +171,12 @@
         by_text=by_text,
         findings=tuple(findings),
     )
+
+
+def make_limit_finding(document: Document, line: int) -> Finding:
+    """Build the finding that ends the reading of an excessive document."""
+    defect = Defect(
+        problem="the file is not read from here on",
+        allowed=f"up to {MAX_SECTIONS} sections and {MAX_FINDINGS} findings",
+    )
+    return Finding(source=document.key, line=line, section="", key="", defect=defect)
--- a/foxtailway/config/typed_section.py
+++ b/foxtailway/config/typed_section.py
@@ -2,14 +2,15 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from functools import cache
 from typing import Any
 
 from foxtailway.config.bounds import Bounds, read_bounds
 from foxtailway.config.finding import Defect, Finding
 from foxtailway.config.relation import find_contradictions
 from foxtailway.config.schema import OVERLAYS_KIND, SECTION_RULES, KeyRule
-from foxtailway.config.section import RawEntry, RawSection, parse_section
-from foxtailway.config.value_kind import NameKind, quote
+from foxtailway.config.section import RawSection, parse_section, show_key
+from foxtailway.config.value_kind import NameKind
 
 __all__ = ["Entry", "Section", "read_base_section", "read_overlay_section"]
 
@@ -123,9 +124,8 @@
         return draft.finish(kind=OVERLAYS_KIND, name="", text=text)
     kind, name = read_header(draft, kinds=(*SECTION_RULES, OVERLAYS_KIND))
     if kind:
-        rules = SECTION_RULES[kind].keys
-        read_entries(draft, rules)
-        fill_defaults(draft, rules)
+        read_entries(draft, SECTION_RULES[kind].keys)
+        fill_defaults(draft, kind)
         check_relations(draft, kind)
     return draft.finish(kind=kind, name=name, text=text)
 
@@ -194,7 +194,7 @@
         if rule is None:
             draft.report(
                 line=raw.line,
-                key=quote_key(raw),
+                key=show_key(raw.key),
                 problem="the key is unknown",
                 allowed=", ".join(rules),
             )
@@ -206,28 +206,30 @@
         draft.entries[raw.key] = Entry(text=raw.text, value=parsed.ok, line=raw.line)
 
 
-def quote_key(raw: RawEntry) -> str:
-    """Return the key, quoted when it is no plain word."""
-    is_plain = raw.key.replace(".", "").isidentifier() and raw.key.isascii()
-    return raw.key if is_plain else quote(raw.key)
-
-
-def fill_defaults(draft: SectionDraft, rules: Mapping[str, KeyRule]) -> None:
+def fill_defaults(draft: SectionDraft, kind: str) -> None:
     """Add defaults and report required keys that are absent."""
     stated = {raw.key for raw in draft.raw.entries}
-    for key, rule in rules.items():
-        if key in stated:
-            continue
-        if rule.is_required:
+    for key, entry in list_defaults(kind).items():
+        if key not in stated:
+            draft.entries[key] = entry
+    for key, rule in SECTION_RULES[kind].keys.items():
+        if rule.is_required and key not in stated:
             draft.report(
                 line=1,
                 key=key,
                 problem="the key is required",
                 allowed=rule.kind.allowed,
             )
-        elif rule.default is not None:
-            value = rule.kind.parse(rule.default).ok
-            draft.entries[key] = Entry(text=rule.default, value=value, line=1)
+
+
+@cache
+def list_defaults(kind: str) -> dict[str, Entry]:
+    """Return the defaults of a kind of section."""
+    return {
+        key: Entry(text=rule.default, value=rule.kind.parse(rule.default).ok, line=1)
+        for key, rule in SECTION_RULES[kind].keys.items()
+        if rule.default is not None
+    }
 
 
 def check_relations(draft: SectionDraft, kind: str) -> None:
@@ -243,7 +245,7 @@
     for raw in draft.raw.entries:
         parsed = read_bounds(key=raw.key, text=raw.text)
         if parsed.is_error():
-            draft.add(line=raw.line, key=quote_key(raw), defect=parsed.error)
+            draft.add(line=raw.line, key=show_key(raw.key), defect=parsed.error)
             continue
         bounds: Bounds = parsed.ok
         draft.entries[raw.key] = Entry(text=raw.text, value=bounds, line=raw.line)
--- a/foxtailway/config/value_kind.py
+++ b/foxtailway/config/value_kind.py
@@ -2,6 +2,7 @@
 
 import re
 from abc import ABC, abstractmethod
+from collections.abc import Mapping
 from dataclasses import dataclass
 from decimal import Decimal
 from typing import Any
@@ -25,14 +26,14 @@
 HTTP_METHODS = ("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT")
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
 PATH_PATTERN = re.compile(r"/[A-Za-z0-9._~/-]{0,255}")
-NUMBER_PATTERN = re.compile(r"([0-9]{1,15}(?:\.[0-9]{1,9})?)\s?([A-Za-z%]*)")
+NUMBER_PATTERN = re.compile(r"([0-9]{1,15}(?:\.[0-9]{1,9})?)\s?([A-Za-z]*)")
 
 
 def quote(text: str) -> str:
-    """Return `text` quoted, on one line and shortened."""
+    """Return `text` quoted, as shortened ASCII on one line."""
     if len(text) > MAX_QUOTED_LENGTH:
         text = text[:MAX_QUOTED_LENGTH] + "..."
-    return repr(text)
+    return ascii(text)
 
 
 class ValueKind(ABC):
@@ -135,7 +136,6 @@
         return self.reject(f"{quote(text)} is neither yes nor no")
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
 class NumberKind(ValueKind):
     """Accept a number between two bounds.
 
@@ -147,24 +147,21 @@
         Whether fractions are refused.
     """
 
-    lowest: str
-    highest: str
-    is_integer: bool = True
-
-    @property
-    def allowed(self) -> str:
-        """Return the accepted range."""
-        noun = "a whole number" if self.is_integer else "a number"
-        return f"{noun} from {self.lowest} to {self.highest}"
+    def __init__(self, *, lowest: str, highest: str, is_integer: bool = True) -> None:
+        noun = "a whole number" if is_integer else "a number"
+        self.allowed = f"{noun} from {lowest} to {highest}"
+        self.is_integer = is_integer
+        self.minimum = self.measure(lowest).ok
+        self.maximum = self.measure(highest).ok
 
     def parse(self, text: str) -> Result[int | float, Defect]:
         """Return the number when it lies between the bounds."""
         measure = self.measure(text)
         if measure.is_error():
             return measure
-        if not self.measure(self.lowest).ok <= measure.ok:
+        if measure.ok < self.minimum:
             return self.reject(f"{text} is too small")
-        if not measure.ok <= self.measure(self.highest).ok:
+        if measure.ok > self.maximum:
             return self.reject(f"{text} is too large")
         return measure
 
@@ -180,26 +177,33 @@
         return Ok(int(match[1]))
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
 class UnitKind(NumberKind):
     """Accept a number with its unit between two bounds.
 
     Parameters
     ----------
-    units : dict of str to Decimal
-        Size of each unit.
+    lowest, highest : str
+        Bounds, written as in a configuration file.
+    units : Mapping of str to Decimal
+        Size of each unit in the unit of the typed value.
+    is_integer : bool, default=True
+        Whether the typed value must be whole.
     """
 
-    units: dict[str, Decimal]
-
-    @property
-    def allowed(self) -> str:
-        """Return the accepted range and units."""
-        units = ", ".join(self.units)
-        return f"{self.lowest} to {self.highest}, in {units}"
+    def __init__(
+        self,
+        *,
+        lowest: str,
+        highest: str,
+        units: Mapping[str, Decimal],
+        is_integer: bool = True,
+    ) -> None:
+        self.units = units
+        super().__init__(lowest=lowest, highest=highest, is_integer=is_integer)
+        self.allowed = f"{lowest} to {highest}, in {', '.join(units)}"
 
     def measure(self, text: str) -> Result[int | float, Defect]:
-        """Return the number in the smallest common unit."""
+        """Return the number in the unit of the typed value."""
         match = NUMBER_PATTERN.fullmatch(text)
         if match is None:
             return self.reject(f"{quote(text)} is not a number with a unit")
