Compare a faulty fleet with a single node

Cause: promises about versions hold only if they survive mixed faults.

Change: a differential test drives eight cores on a virtual clock through publications, cuts, kills, pauses, outages, a stale replica and a restored store, and compares every node with one that applied the versions in order.

--- /dev/null
+++ b/foxtailway/distribution/tests/test_convergence.py
@@ -0,0 +1,190 @@
+"""Differential test: a fleet under faults against one node without any."""
+
+import unittest
+from dataclasses import dataclass
+from enum import Enum
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from foxtailway.distribution.placement import Topology
+from foxtailway.distribution.tests.network import FakeNetwork, is_bad
+from foxtailway.distribution.tests.support import (
+    make_config,
+    make_host,
+    make_host_list,
+    make_settings,
+)
+from foxtailway.model import Bundle, BundleKind, VersionOrder, compare_versions
+from foxtailway.settings import SeedAddress
+
+ZONE_REGIONS = {
+    "accra-a": "accra",
+    "accra-b": "accra",
+    "kumasi-a": "kumasi",
+    "kumasi-b": "kumasi",
+}
+N_HOSTS = 8
+QUIET_S = 60.0
+
+
+class StepKind(Enum):
+    PUBLISH = "publish"
+    PUBLISH_BAD = "publish_bad"
+    PUBLISH_HOSTS = "publish_hosts"
+    CUT = "cut"
+    HEAL = "heal"
+    KILL = "kill"
+    KILL_ALL = "kill_all"
+    RESTART = "restart"
+    PAUSE = "pause"
+    OUTAGE = "outage"
+    RECOVERY = "recovery"
+    RESTORE = "restore"
+    STALE_REPLICA = "stale_replica"
+    WAIT = "wait"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FaultStep:
+    kind: StepKind
+    target: int
+    duration_s: float
+
+
+STEPS = st.builds(
+    FaultStep,
+    kind=st.sampled_from(StepKind),
+    target=st.integers(0, N_HOSTS - 1),
+    duration_s=st.sampled_from([0.0, 0.02, 0.3, 2.0, 8.0]),
+)
+
+
+class Scenario:
+    def __init__(self, seed: int) -> None:
+        self.zones = sorted(ZONE_REGIONS)
+        hosts = tuple(
+            make_host(
+                f"host-{index}",
+                zone=self.zones[index % len(self.zones)],
+                address=f"127.0.1.{index}",
+            )
+            for index in range(N_HOSTS)
+        )
+        seeds = tuple(SeedAddress(address=hosts[i].address, port=7000) for i in (0, 5))
+        self.settings = [
+            make_settings(
+                host.host_id,
+                address=host.address,
+                zone=host.zone,
+                region=ZONE_REGIONS[host.zone],
+                seeds=seeds,
+                n_readers=2,
+                n_gateways=1,
+                n_heads=1,
+                fan_out=2,
+            )
+            for host in hosts
+        ]
+        topology = Topology(hosts=hosts, zone_regions=ZONE_REGIONS)
+        self.network = FakeNetwork(seed=seed, topology=topology)
+        self.platform = self.network.platform
+        self.revision = 0
+        self.generation = 1
+        self.is_restored = False
+        self.publish()
+        self.publish_hosts()
+        for item in self.settings:
+            self.network.start(item)
+
+    def publish(self, text: str = "") -> None:
+        self.revision += 1
+        self.platform.publish(
+            make_config(self.revision, generation=self.generation, text=text)
+        )
+
+    def publish_hosts(self) -> None:
+        self.revision += 1
+        self.platform.publish(make_host_list(self.revision))
+
+    def restore(self) -> None:
+        self.is_restored = True
+        kind = BundleKind.CONFIG
+        self.platform.current[kind] = self.platform.published[kind][0]
+
+    def restart(self, index: int) -> None:
+        settings = self.settings[index]
+        if not self.network.nodes[settings.host.host_id].is_alive:
+            self.network.start(settings)
+
+    def apply(self, step: FaultStep) -> None:
+        network = self.network
+        host_id = self.settings[step.target].host.host_id
+        match step.kind:
+            case StepKind.PUBLISH:
+                self.publish()
+            case StepKind.PUBLISH_BAD:
+                self.publish(text="bad")
+            case StepKind.PUBLISH_HOSTS:
+                self.publish_hosts()
+            case StepKind.CUT:
+                network.cut_zones.add(self.zones[step.target % len(self.zones)])
+            case StepKind.HEAL:
+                network.cut_zones.clear()
+            case StepKind.KILL:
+                network.kill(host_id)
+            case StepKind.KILL_ALL:
+                for known in list(network.nodes):
+                    network.kill(known)
+            case StepKind.RESTART:
+                self.restart(step.target)
+            case StepKind.PAUSE:
+                until_s = network.now + 4 * step.duration_s
+                network.nodes[host_id].paused_until_s = until_s
+            case StepKind.OUTAGE:
+                self.platform.is_up = False
+            case StepKind.RECOVERY:
+                self.platform.is_up = True
+            case StepKind.RESTORE:
+                self.restore()
+            case StepKind.STALE_REPLICA:
+                self.platform.stale_hosts = {host_id}
+        network.run(step.duration_s)
+
+    def settle(self) -> None:
+        """End all faults; operators replace a bad or a restored version."""
+        self.network.cut_zones.clear()
+        self.platform.is_up = True
+        self.platform.stale_hosts.clear()
+        for index in range(N_HOSTS):
+            self.restart(index)
+        if self.is_restored:
+            self.generation += 1
+        if self.is_restored or is_bad(self.platform.published[BundleKind.CONFIG][-1]):
+            self.publish()
+        self.network.run(QUIET_S)
+
+    def apply_naively(self, kind: BundleKind) -> Bundle | None:
+        held = None
+        for bundle in self.platform.published[kind]:
+            version = held.version if held else None
+            order = compare_versions(held=version, offered=bundle.version)
+            if order is VersionOrder.NEWER and not is_bad(bundle):
+                held = bundle
+        return held
+
+
+class ConvergenceTest(unittest.TestCase):
+    @settings(max_examples=12, deadline=None, suppress_health_check=list(HealthCheck))
+    @given(seed=st.integers(0, 2**16), steps=st.lists(STEPS, min_size=5, max_size=25))
+    def test_every_node_ends_like_a_single_one(
+        self, seed: int, steps: list[FaultStep]
+    ) -> None:
+        scenario = Scenario(seed)
+        for step in steps:
+            scenario.apply(step)
+        scenario.settle()
+        for kind in BundleKind:
+            expected = scenario.apply_naively(kind)
+            for node in scenario.network.nodes.values():
+                self.assertEqual(node.applied.get(kind), expected, node.host_id)
