--- a/foxtailway/distribution/core.py
+++ b/foxtailway/distribution/core.py
@@ -131,8 +131,7 @@
                 self.bootstrap.answer(link.link_id)
         self.context.freshness.forget()
         self.platform.poller.epoch += 1
-        seeker = self.uplink.seeker
-        seeker.retry_at_s = self.context.now + seeker.draw_interval_s()
+        self.uplink.seeker.postpone(now=self.context.now)
         self.downlink.unconfirmed_until_s = (
             self.context.now + self.sizes.bootstrap_timeout_s
         )
@@ -195,9 +194,10 @@
                 self.context.send(link, Heartbeat(beacon=beacon))
 
     def on_started(self, event: Started) -> None:
-        """Ask the seeds, then look for a parent."""
+        """Ask the seeds, and look for a parent soon after."""
         self.is_running = True
         self.uplink.probe_seeds()
+        self.uplink.seeker.postpone(now=self.context.now)
         self.exchange.release()
 
     def on_stopped(self, event: Stopped) -> None:
--- a/foxtailway/distribution/delta.py
+++ b/foxtailway/distribution/delta.py
@@ -31,7 +31,8 @@
 
 MAX_DOCUMENT_BYTES = 1_048_576
 MAX_PART_BYTES = 65_536
-COMPRESSION_LEVEL = 3
+FULL_LEVEL = 3
+PATCH_LEVEL = 9
 N_CACHED_UPDATES = 16
 UNKNOWN_BEACON = Beacon(age_ms=None, n_hops=0)
 
@@ -52,7 +53,7 @@
         Compressed document.
     """
     if base is None:
-        compressor = ZstdCompressor(level=COMPRESSION_LEVEL)
+        compressor = ZstdCompressor(level=FULL_LEVEL)
         return EncodedDocument(
             key=document.key,
             encoding=Encoding.FULL,
@@ -60,7 +61,7 @@
             content=compressor.compress(document.content),
         )
     compressor = ZstdCompressor(
-        level=COMPRESSION_LEVEL, dict_data=make_dictionary(base), write_dict_id=False
+        level=PATCH_LEVEL, dict_data=make_dictionary(base), write_dict_id=False
     )
     return EncodedDocument(
         key=document.key,
--- a/foxtailway/distribution/seeker.py
+++ b/foxtailway/distribution/seeker.py
@@ -77,7 +77,7 @@
             self.cursor = 0
             self.n_failures = 0
             self.hints.clear()
-            self.retry_at_s = now + self.draw_interval_s()
+            self.postpone(now=now)
         self.candidates = candidates
         self.rescuers = rescuers
         self.is_placed = True
@@ -86,6 +86,10 @@
             seed for seed in self.seeds if (seed.address, seed.port) not in listed
         )
 
+    def postpone(self, *, now: float) -> None:
+        """Try no parent before the next interval is over."""
+        self.retry_at_s = now + self.draw_interval_s()
+
     def draw_interval_s(self) -> float:
         """Return the next interval between tries, in seconds."""
         n_peers = max(1, len(self.candidates) + len(self.last_resorts))
@@ -162,7 +166,7 @@
             self.blocked_until_s[target] = now + blocked_s
         if not self.is_placed and len(self.hints) + len(hints) <= N_HINTS:
             self.hints.extend(self.shuffle(hints))
-        self.retry_at_s = now + self.draw_interval_s()
+        self.postpone(now=now)
         self.n_failures += 1
 
     def note_parent(self, *, now: float) -> None:
--- a/foxtailway/distribution/uplink.py
+++ b/foxtailway/distribution/uplink.py
@@ -232,7 +232,7 @@
         if parent is None or is_lost or not seeker.is_candidate(parent.host_id):
             target = seeker.choose(now=now, avoid=self.list_avoided(), is_lost=is_lost)
             if target is None:
-                seeker.retry_at_s = now + seeker.draw_interval_s()
+                seeker.postpone(now=now)
             return target
         if now < seeker.rehome_at_s:
             return None
