--- /dev/null
+++ b/foxtailway/cli/admin_client.py
@@ -0,0 +1,123 @@
+"""Client of the admin ports of nodes."""
+
+import asyncio
+from argparse import ArgumentTypeError
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+from expression import Error, Ok, Result
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPClientError, HTTPRequest
+
+from foxtailway.cli.node_report import AuditReport, NodeReport, parse_audit, parse_node
+from foxtailway.common.failure import Failure, FailureKind, Step
+
+__all__ = ["AdminAddress", "AdminClient", "parse_address"]
+
+TIMEOUT_S = 5.0
+N_CONNECTIONS = 64
+MAX_ANSWER_SIZE_BYTES = 20_000_000
+LARGEST_PORT = 65_535
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AdminAddress:
+    """Name the admin port of a node."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return ``HOST:PORT``."""
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
+
+def parse_address(text: str) -> AdminAddress:
+    """Return the address written as ``HOST:PORT``.
+
+    Raises
+    ------
+    argparse.ArgumentTypeError
+        When `text` is malformed.
+    """
+    host, _, port = text.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    is_port = port.isascii() and port.isdigit() and len(port) <= 5
+    is_host = host.isascii() and all(item.isalnum() or item in ".:-_" for item in host)
+    if not (host and is_host and is_port and 1 <= int(port) <= LARGEST_PORT):
+        raise ArgumentTypeError(f"{text!r} is not HOST:PORT with a port up to 65535")
+    return AdminAddress(host=host, port=int(port))
+
+
+class AdminClient:
+    """Read the admin ports of many nodes at a time.
+
+    Parameters
+    ----------
+    timeout_s : float, default=5.0
+        Time after which a node counts as unreachable, in seconds.
+    """
+
+    def __init__(self, *, timeout_s: float = TIMEOUT_S) -> None:
+        self.timeout_s = timeout_s
+        self.client = CurlAsyncHTTPClient(
+            force_instance=True,
+            max_clients=N_CONNECTIONS,
+            max_body_size=MAX_ANSWER_SIZE_BYTES,
+        )
+
+    def close(self) -> None:
+        """Close all connections; idempotent."""
+        self.client.close()
+
+    async def fetch_nodes(
+        self, addresses: Sequence[AdminAddress]
+    ) -> list[Result[NodeReport, Failure]]:
+        """Return the state of each node, in the given order."""
+        return await asyncio.gather(*map(self.fetch_node, addresses))
+
+    async def fetch_node(self, address: AdminAddress) -> Result[NodeReport, Failure]:
+        """Return the state of a node."""
+        fetched = await self.fetch(address, "/status")
+        if fetched.is_error():
+            return Error(fetched.error)
+        report = parse_node(fetched.ok)
+        if report is None:
+            return Error(fail(address, FailureKind.INVALID, "answer is no status"))
+        return Ok(report)
+
+    async def fetch_audit(
+        self, address: AdminAddress, *, since: int
+    ) -> Result[AuditReport, Failure]:
+        """Return the entries of a node's audit trail after `since`."""
+        fetched = await self.fetch(address, f"/audit?since={since}")
+        if fetched.is_error():
+            return Error(fetched.error)
+        report = parse_audit(fetched.ok)
+        if report is None:
+            return Error(fail(address, FailureKind.INVALID, "answer is no trail"))
+        return Ok(report)
+
+    async def fetch(self, address: AdminAddress, path: str) -> Result[Any, Failure]:
+        """Return the decoded JSON answer of a node."""
+        request = HTTPRequest(
+            f"http://{address}{path}",
+            connect_timeout=self.timeout_s,
+            request_timeout=self.timeout_s,
+            follow_redirects=False,
+        )
+        try:
+            response = await self.client.fetch(request)
+            return Ok(orjson.loads(response.body))
+        except HTTPClientError as error:
+            return Error(fail(address, FailureKind.UNREACHABLE, error.message))
+        except (OSError, ValueError) as error:
+            return Error(fail(address, FailureKind.INVALID, str(error)))
+
+
+def fail(address: AdminAddress, kind: FailureKind, detail: str) -> Failure:
+    """Return a failure that names the node."""
+    return Failure(step=Step.RECEIVE, kind=kind, peer=str(address), detail=detail)
--- /dev/null
+++ b/foxtailway/cli/fleet.py
@@ -0,0 +1,136 @@
+"""Comparison of the states of many nodes."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from expression import Result
+
+from foxtailway.cli.admin_client import AdminAddress
+from foxtailway.cli.node_report import NodeReport, VersionName
+from foxtailway.common.failure import Failure
+
+__all__ = ["NodeFinding", "compare_nodes", "find_newest"]
+
+STALE_S = 60.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NodeFinding:
+    """Tell what is wrong with one node, if anything.
+
+    Parameters
+    ----------
+    address : str
+        Admin port that was asked.
+    report : NodeReport or None
+        State of the node; None when it did not answer.
+    is_behind : bool
+        Whether the node lacks the newest configuration seen.
+    problems : tuple of str
+        Reasons to act.
+    remarks : tuple of str
+        What else is worth knowing.
+    """
+
+    address: str
+    report: NodeReport | None
+    is_behind: bool
+    problems: tuple[str, ...]
+    remarks: tuple[str, ...]
+
+
+def find_newest(reports: Iterable[NodeReport]) -> VersionName | None:
+    """Return the newest configuration version in force on any node."""
+    versions = [
+        report.config_version for report in reports if report.config_version is not None
+    ]
+    return max(versions, key=lambda version: version.rank, default=None)
+
+
+def compare_nodes(
+    addresses: Sequence[AdminAddress],
+    results: Sequence[Result[NodeReport, Failure]],
+) -> tuple[NodeFinding, ...]:
+    """Compare the states of nodes with the newest one.
+
+    Parameters
+    ----------
+    addresses : sequence of AdminAddress
+        Admin ports that were asked.
+    results : sequence of Result
+        Answer of each.
+
+    Returns
+    -------
+    tuple of NodeFinding
+        One finding per address, in the same order.
+    """
+    reports = [result.ok for result in results if result.is_ok()]
+    newest = find_newest(reports)
+    findings = []
+    for address, result in zip(addresses, results, strict=True):
+        if result.is_ok():
+            findings.append(judge_node(str(address), result.ok, newest))
+            continue
+        problem = f"{result.error.kind.value}: {result.error.detail}"
+        findings.append(
+            NodeFinding(
+                address=str(address),
+                report=None,
+                is_behind=False,
+                problems=(problem,),
+                remarks=(),
+            )
+        )
+    return tuple(findings)
+
+
+def judge_node(
+    address: str, report: NodeReport, newest: VersionName | None
+) -> NodeFinding:
+    """Return the finding about a node that answered."""
+    problems = []
+    is_behind = newest is not None and not newest.is_covered_by(report.config_version)
+    if report.config_version is None:
+        problems.append("no configuration in force")
+    elif is_behind and report.config_version.rank == newest.rank:
+        problems.append(f"differs from {newest} under the same number")
+    elif is_behind:
+        problems.append(f"behind {newest}: {explain_lag(report, newest)}")
+    if report.is_stopping:
+        problems.append("stopping")
+    elif not report.is_ready:
+        problems.append("not ready")
+    return NodeFinding(
+        address=address,
+        report=report,
+        is_behind=is_behind,
+        problems=tuple(problems),
+        remarks=list_remarks(report),
+    )
+
+
+def explain_lag(report: NodeReport, newest: VersionName) -> str:
+    """Return the likely reason why a node is behind."""
+    rejection = report.last_rejection
+    if rejection is not None and rejection.version.rank >= newest.rank:
+        return f"rejected {rejection.version}"
+    if report.parent is None:
+        return "has no parent"
+    if report.confirmed_age_s is None:
+        return f"never confirmed through {report.parent}"
+    age_s = report.confirmed_age_s
+    return f"last confirmed {age_s:.1f} s ago through {report.parent}"
+
+
+def list_remarks(report: NodeReport) -> tuple[str, ...]:
+    """Return what is worth knowing about a node besides its problems."""
+    remarks = []
+    if report.withdrawn_routes:
+        remarks.append(f"withdrawn routes: {', '.join(report.withdrawn_routes)}")
+    if report.confirmed_age_s is not None and report.confirmed_age_s > STALE_S:
+        remarks.append("not confirmed by the platform for over a minute")
+    rejection = report.last_rejection
+    if rejection is not None:
+        remarks.append(f"last rejected {rejection.version}: {rejection.reason}")
+    return tuple(remarks)
--- /dev/null
+++ b/foxtailway/cli/table.py
@@ -0,0 +1,32 @@
+"""Tables of text."""
+
+from collections.abc import Sequence
+
+__all__ = ["format_table"]
+
+GAP = "  "
+
+
+def format_table(
+    columns: Sequence[str], rows: Sequence[Sequence[str]]
+) -> tuple[str, ...]:
+    """Return aligned lines, the heads of the columns first.
+
+    Examples
+    --------
+    >>> format_table(("HOST", "ZONE"), [("a", "accra-a")])
+    ('HOST  ZONE', 'a     accra-a')
+    """
+    lines = [tuple(columns), *(tuple(clean(cell) for cell in row) for row in rows)]
+    widths = [max(len(line[index]) for line in lines) for index in range(len(columns))]
+    return tuple(
+        GAP.join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
+
+
+def clean(cell: str) -> str:
+    """Return a cell without line breaks and control characters."""
+    return "".join(item if item.isprintable() else " " for item in cell)
--- /dev/null
+++ b/foxtailway/cli/wait.py
@@ -0,0 +1,159 @@
+"""Subcommand that waits until a version is in force."""
+
+import asyncio
+from argparse import ArgumentParser, ArgumentTypeError, Namespace
+from collections.abc import Sequence
+from contextlib import closing
+
+from expression import Result
+
+from foxtailway.cli.admin_client import AdminAddress, AdminClient, parse_address
+from foxtailway.cli.command import Command, ExitCode
+from foxtailway.cli.configuration_files import print_line
+from foxtailway.cli.node_report import NodeReport, VersionName, parse_version
+from foxtailway.common.clock import Clock, MonotonicClock
+from foxtailway.common.failure import Failure
+from foxtailway.common.quantity import parse_duration
+
+__all__ = ["WaitCommand", "wait_for_version"]
+
+INTERVAL_S = 0.2
+DEFAULT_TIMEOUT_S = 30.0
+MAX_NAMED_NODES = 8
+
+
+def parse_version_argument(text: str) -> VersionName:
+    """Return a version; raise for other text."""
+    version = parse_version(text)
+    if version is None:
+        detail = "is not GENERATION.REVISION or GENERATION.REVISION-DIGEST"
+        raise ArgumentTypeError(f"{text!r} {detail}")
+    return version
+
+
+def parse_timeout(text: str) -> float:
+    """Return a duration in seconds; raise for other text."""
+    timeout_s = parse_duration(text)
+    if timeout_s is None:
+        raise ArgumentTypeError(f"{text!r} is not a duration with ms, s, min or h")
+    return timeout_s
+
+
+class WaitCommand(Command):
+    """Wait until a version or a newer one is in force on all nodes."""
+
+    name = "wait"
+    summary = "wait until a version or a newer one is in force on all nodes"
+
+    def configure(self, parser: ArgumentParser) -> None:
+        """Add the version, the addresses and the timeout."""
+        parser.add_argument(
+            "--version",
+            metavar="V",
+            type=parse_version_argument,
+            required=True,
+            help="version as status prints it, the digest may be left out",
+        )
+        parser.add_argument(
+            "--timeout",
+            metavar="DURATION",
+            type=parse_timeout,
+            default=DEFAULT_TIMEOUT_S,
+            help="longest wait, 30s when not given",
+        )
+        parser.add_argument(
+            "addresses",
+            metavar="HOST:PORT",
+            type=parse_address,
+            nargs="+",
+            help="admin port of a node",
+        )
+
+    def run(self, arguments: Namespace) -> ExitCode:
+        """Print the progress; a node that lacks the version is a finding."""
+        is_in_force = asyncio.run(
+            wait_for_version(
+                arguments.version,
+                addresses=arguments.addresses,
+                timeout_s=arguments.timeout,
+                clock=MonotonicClock(),
+            )
+        )
+        return ExitCode.OK if is_in_force else ExitCode.FINDING
+
+
+async def wait_for_version(
+    version: VersionName,
+    *,
+    addresses: Sequence[AdminAddress],
+    timeout_s: float,
+    clock: Clock,
+) -> bool:
+    """Ask the nodes until all of them have a version in force.
+
+    Parameters
+    ----------
+    version : VersionName
+        Version to wait for; a newer one counts as well.
+    addresses : sequence of AdminAddress
+        Admin ports of the nodes.
+    timeout_s : float
+        Longest wait, in seconds.
+    clock : Clock
+        Clock that bounds the wait.
+
+    Returns
+    -------
+    bool
+        Whether the version is in force on all nodes.
+    """
+    start_s = clock.now()
+    shown = ""
+    with closing(AdminClient(timeout_s=max(INTERVAL_S, timeout_s))) as client:
+        while True:
+            results = await client.fetch_nodes(addresses)
+            missing = list_missing(version, addresses, results)
+            age_s = clock.now() - start_s
+            n_done = len(addresses) - len(missing)
+            progress = f"{version} in force on {n_done} of {len(addresses)}"
+            text = f"{progress}{name_missing(missing)}"
+            is_over = not missing or age_s >= timeout_s
+            if text != shown or is_over:
+                print_line(f"{age_s:.1f}s: {text}")
+            shown = text
+            if is_over:
+                return not missing
+            await asyncio.sleep(min(INTERVAL_S, timeout_s - age_s))
+
+
+def list_missing(
+    version: VersionName,
+    addresses: Sequence[AdminAddress],
+    results: Sequence[Result[NodeReport, Failure]],
+) -> list[str]:
+    """Describe the nodes that lack a version."""
+    missing = []
+    for address, result in zip(addresses, results, strict=True):
+        if result.is_error():
+            missing.append(f"{address} ({result.error.kind.value})")
+        elif not version.is_covered_by(result.ok.config_version):
+            missing.append(f"{result.ok.host_id} ({explain(version, result.ok)})")
+    return missing
+
+
+def explain(version: VersionName, report: NodeReport) -> str:
+    """Return what a node has in place of a version."""
+    rejection = report.last_rejection
+    if rejection is not None and rejection.version.rank >= version.rank:
+        return f"rejected {rejection.version}: {rejection.reason}"
+    held = report.config_version
+    return "no version" if held is None else str(held)
+
+
+def name_missing(missing: Sequence[str]) -> str:
+    """Return the end of a line of progress."""
+    if not missing:
+        return ""
+    named = "; ".join(missing[:MAX_NAMED_NODES])
+    n_more = len(missing) - MAX_NAMED_NODES
+    return f", missing: {named}" + (f"; {n_more} more" if n_more > 0 else "")
