Prove parents, storms, pauses, fallback, placement and transfers

Cause: each rule needs a test of its own beside the differential one.

Change: focused tests; gateways and readers stand outside the zone's tree, since one hash made the same hosts gateways and heads; the first known rank replaces a provisional fallback wait, which had let a freshly placed node turn to the platform at once.

--- a/foxtailway/distribution/core.py
+++ b/foxtailway/distribution/core.py
@@ -144,7 +144,7 @@
         self.drop_silent_links()
         self.send_heartbeats(interval_s=self.sizes.heartbeat_s)
         is_lost = self.is_lost()
-        self.platform.tick(is_lost=is_lost, is_placed=self.placement is not None)
+        self.platform.tick(is_lost=is_lost)
         self.uplink.tick(is_lost=is_lost)
         self.context.actions.append(WakeAt(time_s=self.next_deadline_s()))
 
--- a/foxtailway/distribution/placement.py
+++ b/foxtailway/distribution/placement.py
@@ -144,7 +144,11 @@
             self.gateways = nsmallest(
                 self.sizes.n_gateways, region_hosts, key=score_key
             )
-        self.zone_order = sorted(zone_hosts, key=score_key)
+        upper_ids = {host.host_id for host in self.gateways}
+        self.zone_order = sorted(
+            (host for host in zone_hosts if host.host_id not in upper_ids),
+            key=score_key,
+        )
         self.zone_rank = self.find_rank(self.zone_order)
         self.listed_seeds = self.find_listed_seeds(store_hosts, region_hosts)
 
--- a/foxtailway/distribution/platform.py
+++ b/foxtailway/distribution/platform.py
@@ -34,11 +34,11 @@
             settings=context.settings, random_source=context.random_source
         )
 
-    def tick(self, *, is_lost: bool, is_placed: bool) -> None:
+    def tick(self, *, is_lost: bool) -> None:
         """Start the collections that are due."""
         now = self.context.now
         if is_lost:
-            grace_s = self.sizes.silence_s if is_placed else 0.0
+            grace_s = self.sizes.silence_s if self.poller.is_placed else 0.0
             self.poller.schedule_fallback(now=now, grace_s=grace_s)
         else:
             self.poller.cancel_fallback()
--- a/foxtailway/distribution/poller.py
+++ b/foxtailway/distribution/poller.py
@@ -54,6 +54,7 @@
         self.states = {kind: PollState() for kind in BundleKind}
         self.epoch = 0
         self.n_calls = 0
+        self.is_placed = False
         self.n_hosts = N_UNKNOWN_HOSTS
         self.rank = self.find_seed_rank()
         self.is_reader = self.rank < self.sizes.n_readers
@@ -72,7 +73,14 @@
         return self.random_source.randrange(len(seeds), N_UNKNOWN_HOSTS)
 
     def place(self, placement: Placement) -> None:
-        """Take over the role and the rank of a new topology."""
+        """Take over the role and the rank of a new topology.
+
+        A wait under way goes on, since the host list changes all the time, but
+        the first known rank replaces a provisional one.
+        """
+        if not self.is_placed:
+            self.cancel_fallback()
+        self.is_placed = True
         self.is_reader = placement.role is Role.READER
         self.rank = placement.fallback_rank
         self.n_hosts = placement.n_hosts
--- a/foxtailway/distribution/tests/harness.py
+++ b/foxtailway/distribution/tests/harness.py
@@ -31,7 +31,7 @@
 )
 from foxtailway.distribution.placement import Topology
 from foxtailway.distribution.tests.support import MESH, make_settings
-from foxtailway.model import Bundle
+from foxtailway.model import Bundle, BundleKind
 
 ActionType = TypeVar("ActionType")
 FRESH = Beacon(age_ms=0, n_hops=1)
@@ -128,6 +128,11 @@
         event = Collected(kind=bundle.kind, epoch=epoch, result=Ok(bundle))
         return self.handle(event)
 
+    def fail_collections(self) -> None:
+        """Let the platform fail the collections of a node without seeds."""
+        for kind in BundleKind:
+            self.handle(Collected(kind=kind, epoch=0, result=Error(INVALID)))
+
     def accept(self, hello: ControlHello) -> list[Action]:
         link_id = self.core.allocate_link_id()
         return self.handle(LinkAccepted(link_id=link_id, hello=hello))
--- /dev/null
+++ b/foxtailway/distribution/tests/test_uplink.py
@@ -0,0 +1,252 @@
+import unittest
+
+from foxtailway.common import Failure, FailureKind, Step
+from foxtailway.distribution.action import CloseLink, Collect, Dial
+from foxtailway.distribution.event import DialFailed, LinkClosed, TimerFired
+from foxtailway.distribution.message import (
+    Beacon,
+    Goodbye,
+    Heartbeat,
+    PeerAddress,
+    RefusedReason,
+    SubscriptionRefused,
+)
+from foxtailway.distribution.placement import Role, Topology, place
+from foxtailway.distribution.tests.harness import FRESH, CoreHarness, make_hello
+from foxtailway.distribution.tests.support import (
+    make_config,
+    make_host,
+    make_host_list,
+    make_settings,
+)
+
+N_HOSTS = 30
+ZONE_REGIONS = {"accra-a": "accra", "kumasi-a": "kumasi"}
+
+
+def make_topology() -> Topology:
+    return Topology(
+        hosts=tuple(
+            make_host(
+                f"host-{index}",
+                zone=("accra-a", "kumasi-a")[index % 2],
+                address=f"127.0.1.{index}",
+            )
+            for index in range(N_HOSTS)
+        ),
+        zone_regions=ZONE_REGIONS,
+    )
+
+
+def find_host(role: Role) -> str:
+    topology = make_topology()
+    for host in topology.hosts:
+        region = ZONE_REGIONS[host.zone]
+        settings = make_settings(host.host_id, zone=host.zone, region=region)
+        if region == "kumasi" and place(topology, settings=settings).role is role:
+            return host.host_id
+    raise AssertionError(role)
+
+
+class AttachedTestCase(unittest.TestCase):
+    """A member or head of the far region, attached to its preferred parent."""
+
+    role = Role.MEMBER
+
+    def setUp(self) -> None:
+        self.harness = CoreHarness(
+            find_host(self.role), zone="kumasi-a", region="kumasi"
+        )
+        self.harness.start()
+        self.harness.fail_collections()
+        self.harness.place(make_topology())
+        self.parent = self.harness.next_dial()
+        self.link_id = self.harness.welcome(
+            self.parent, host_id=self.parent.target.host_id
+        )
+
+    def find_parent_id(self) -> str | None:
+        parent = self.harness.core.uplink.parent
+        return parent.host_id if parent else None
+
+    def find_trial(self) -> Dial:
+        """Let the parent grow stale until another node is tried."""
+        for second in range(30):
+            beacon = Beacon(age_ms=1000 * second, n_hops=1)
+            self.harness.receive(self.link_id, Heartbeat(beacon=beacon))
+            trials = self.harness.find(Dial, self.harness.advance(1.0))
+            if trials:
+                return trials[0]
+        raise AssertionError("no trial")
+
+    def keep_alive(self, duration_s: int) -> list:
+        """Let the parent send fresh heartbeats."""
+        actions = []
+        for _ in range(duration_s):
+            actions += self.harness.receive(self.link_id, Heartbeat(beacon=FRESH))
+            actions += self.harness.advance(1.0)
+        return actions
+
+
+class ParentTest(AttachedTestCase):
+    def test_the_first_candidate_is_tried_first(self) -> None:
+        candidates = self.harness.core.placement.candidates
+        self.assertEqual(self.parent.target, candidates[0])
+        self.assertEqual(self.find_parent_id(), candidates[0].host_id)
+
+    def test_a_fresh_parent_is_kept(self) -> None:
+        actions = self.keep_alive(30)
+        self.assertEqual(self.harness.find(CloseLink, actions), [])
+        self.assertEqual(self.harness.find(Collect, actions), [])
+
+    def test_a_silent_parent_is_left(self) -> None:
+        actions = self.harness.advance(3.2)
+        self.assertIn(CloseLink(link_id=self.link_id), actions)
+        self.assertIn(FailureKind.TIMEOUT, self.harness.list_failures())
+        target = self.harness.next_dial().target
+        self.assertNotEqual(target, self.parent.target)
+
+    def test_a_lost_parent_is_replaced(self) -> None:
+        failure = Failure(
+            step=Step.RECEIVE, kind=FailureKind.CLOSED, peer="parent", detail="reset"
+        )
+        self.harness.handle(LinkClosed(link_id=self.link_id, failure=failure))
+        self.harness.welcome(self.harness.next_dial(), host_id="other")
+        self.assertEqual(self.find_parent_id(), "other")
+
+    def test_a_leaving_parent_is_replaced_by_another(self) -> None:
+        self.harness.receive(self.link_id, Goodbye(alternates=()))
+        target = self.harness.next_dial().target
+        self.assertNotEqual(target, self.parent.target)
+
+    def test_a_stale_parent_is_left_for_a_clearly_fresher_one(self) -> None:
+        trial = self.find_trial()
+        self.harness.welcome(trial, host_id="fresher", beacon=FRESH)
+        self.assertEqual(self.find_parent_id(), "fresher")
+
+    def test_a_stale_parent_is_kept_if_others_are_no_fresher(self) -> None:
+        trial = self.find_trial()
+        old = Beacon(age_ms=11_000, n_hops=1)
+        self.harness.welcome(trial, host_id="other", beacon=old)
+        self.assertEqual(self.find_parent_id(), self.parent.target.host_id)
+
+    def test_a_loop_shows_by_its_hops(self) -> None:
+        looping = Beacon(age_ms=0, n_hops=32)
+        actions = self.harness.receive(self.link_id, Heartbeat(beacon=looping))
+        self.assertIn(CloseLink(link_id=self.link_id), actions)
+        self.assertIsNone(self.harness.core.context.freshness.age_s(self.harness.now))
+
+    def test_ages_add_up_on_the_way(self) -> None:
+        beacon = Beacon(age_ms=4000, n_hops=2)
+        self.harness.core.context.freshness.forget()
+        self.harness.receive(self.link_id, Heartbeat(beacon=beacon))
+        self.harness.accept(make_hello())
+        actions = self.harness.advance(1.0)
+        sent = self.harness.list_sent(Heartbeat, actions)[0].beacon
+        self.assertGreater(sent.age_ms, 4900)
+        self.assertEqual(sent.n_hops, 3)
+
+    def test_retries_back_off_to_a_cap(self) -> None:
+        self.harness.receive(self.link_id, Goodbye(alternates=()))
+        times_s = []
+        while self.harness.now < 200.0:
+            for dial in self.harness.find(Dial, self.harness.advance(0.1)):
+                times_s.append(self.harness.now)
+                failure = Failure(
+                    step=Step.CONNECT,
+                    kind=FailureKind.UNREACHABLE,
+                    peer="peer",
+                    detail="refused",
+                )
+                event = DialFailed(link_id=dial.link_id, failure=failure)
+                self.harness.handle(event)
+        early = [time_s for time_s in times_s if time_s < 2.0]
+        late = [time_s for time_s in times_s if time_s > 100.0]
+        self.assertGreater(len(early), 4)
+        self.assertTrue(20 <= len(late) <= 80, len(late))
+
+    def test_a_refusal_is_respected(self) -> None:
+        self.harness.receive(self.link_id, Goodbye(alternates=()))
+        refused = self.harness.next_dial()
+        message = SubscriptionRefused(
+            reason=RefusedReason.FULL, retry_after_s=60.0, alternates=()
+        )
+        self.harness.receive(refused.link_id, message)
+        dials = self.harness.find(Dial, self.harness.advance(30.0))
+        self.assertNotIn(refused.target, [dial.target for dial in dials])
+
+
+class UnplacedTest(unittest.TestCase):
+    def test_alternates_are_tried_before_a_host_list_is_known(self) -> None:
+        harness = CoreHarness(seeds=CoreHarness().core.sizes.seeds)
+        alternate = PeerAddress(host_id="named", address="127.0.1.9", port=7000)
+        seeker = harness.core.uplink.seeker
+        seeker.note_failure(alternate, now=0.0, hints=(alternate,))
+        chosen = seeker.choose(now=0.0, avoid=frozenset(), is_lost=True)
+        self.assertEqual(chosen, alternate)
+
+
+class PauseTest(AttachedTestCase):
+    def pause(self) -> list:
+        self.harness.accept(make_hello())
+        self.harness.now += 10.0
+        return self.harness.handle(TimerFired())
+
+    def test_a_paused_node_drops_its_streams_and_its_view(self) -> None:
+        closed = self.harness.find(CloseLink, self.pause())
+        self.assertEqual(len(closed), 2)
+        self.assertIsNone(self.harness.core.context.freshness.confirmed_s)
+
+    def test_a_paused_node_feeds_no_child_before_it_has_confirmed(self) -> None:
+        self.pause()
+        actions = self.harness.accept(make_hello())
+        refusal = self.harness.list_sent(SubscriptionRefused, actions)[0]
+        self.assertIs(refusal.reason, RefusedReason.UNCONFIRMED)
+        self.harness.welcome(self.harness.next_dial())
+        self.harness.accept(make_hello())
+        self.assertIsNotNone(self.harness.core.links.find_child("child"))
+
+    def test_a_cut_off_node_serves_its_children_after_all(self) -> None:
+        self.pause()
+        self.harness.advance(2.1)
+        self.harness.accept(make_hello())
+        self.assertIsNotNone(self.harness.core.links.find_child("child"))
+
+
+class ReaderTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.harness = CoreHarness()
+        self.harness.start()
+        self.harness.collect(make_config(1))
+        self.harness.collect(make_host_list(1))
+
+    def test_an_answer_from_before_a_pause_confirms_nothing(self) -> None:
+        self.assertIsNotNone(self.harness.core.context.freshness.confirmed_s)
+        self.harness.now += 10.0
+        self.harness.collect(make_config(2), epoch=0)
+        self.harness.collect(make_host_list(2), epoch=0)
+        self.assertIsNone(self.harness.core.context.freshness.confirmed_s)
+        self.assertIn(make_config(2), self.harness.offered)
+
+    def test_both_kinds_must_be_confirmed(self) -> None:
+        self.harness.now = 2.0
+        self.harness.collect(make_config(2))
+        self.assertEqual(self.harness.core.context.freshness.age_s(2.0), 2.0)
+
+
+class FallbackTest(AttachedTestCase):
+    role = Role.HEAD
+
+    def test_an_orphan_turns_to_the_platform_and_back(self) -> None:
+        self.harness.receive(self.link_id, Goodbye(alternates=()))
+        actions = []
+        while not self.harness.find(Collect, actions) and self.harness.now < 60.0:
+            actions += self.harness.advance(0.1)
+        self.assertEqual(len(self.harness.find(Collect, actions)), 2)
+        self.harness.collect(make_config(1))
+        self.harness.collect(make_host_list(1))
+        self.assertEqual(self.harness.core.context.freshness.n_hops, 0)
+        self.parent = self.harness.next_dial()
+        self.link_id = self.harness.welcome(self.parent, host_id="regained")
+        actions = self.keep_alive(60)
+        self.assertEqual(self.harness.find(Collect, actions), [])
