--- a/foxtailway/testing/tests/test_upstream.py
+++ b/foxtailway/testing/tests/test_upstream.py
@@ -11,7 +11,8 @@
     HTTPResponse,
 )
 
-from foxtailway.testing.upstream import CRASH_EXIT_CODE, UpstreamStandIn
+from foxtailway.testing.upstream import UpstreamStandIn
+from foxtailway.testing.upstream_handlers import CRASH_EXIT_CODE
 
 
 async def fetch(url: str, **arguments: object) -> HTTPResponse:
