Add ledger, home guard, crash containment, sessions and deadlines

Cause: repeats of non-idempotent requests, requests that crash upstreams and answers out of order need decisions of their own. Change: ledger with a bounded window; guard that runs a caller's key only at its home and asks previous homes; containment by fingerprint; correlation of answers by generation and call; deadlines as durations; pause detection. Containment, sessions and deadlines have no tests yet.

--- a/foxtailway/routing/__init__.py
+++ b/foxtailway/routing/__init__.py
@@ -8,8 +8,21 @@
     Rejected,
 )
 from foxtailway.routing.balancer import CallObservation, LoadBalancer, ObservationKind
+from foxtailway.routing.deadline import (
+    PauseDetector,
+    receive_deadline,
+    remaining_for_hop,
+)
+from foxtailway.routing.home import HomeDecision, HomeGuard, HomeVerdict, choose_home
+from foxtailway.routing.ledger import (
+    LedgerDecision,
+    LedgerVerdict,
+    RequestLedger,
+    digest_request_key,
+)
 from foxtailway.routing.limit import AdaptiveLimit, FixedLimit, LimitPolicy
 from foxtailway.routing.outcome import Outcome, Refusal, RefusalReason
+from foxtailway.routing.quarantine import CrashContainment, fingerprint
 from foxtailway.routing.queue_policy import (
     NeverShed,
     NewestFirstUnderOverload,
@@ -18,8 +31,10 @@
     SaturationBreaker,
     ShedPolicy,
 )
+from foxtailway.routing.rendezvous import choose_host, choose_hosts
 from foxtailway.routing.retry import RetryBudget, RetryDecision, RetryPolicy
 from foxtailway.routing.route_table import RouteTable
+from foxtailway.routing.session import AnswerVerdict, CallSession, EndedCall
 from foxtailway.routing.zone_balancer import ZoneAwareBalancer
 
 __all__ = [
@@ -27,8 +42,17 @@
     "AdmissionDecision",
     "AdmissionQueue",
     "Admitted",
+    "AnswerVerdict",
     "CallObservation",
+    "CallSession",
+    "CrashContainment",
+    "EndedCall",
     "FixedLimit",
+    "HomeDecision",
+    "HomeGuard",
+    "HomeVerdict",
+    "LedgerDecision",
+    "LedgerVerdict",
     "LimitPolicy",
     "LoadBalancer",
     "NeverShed",
@@ -36,11 +60,13 @@
     "ObservationKind",
     "OldestFirst",
     "Outcome",
+    "PauseDetector",
     "PendingCall",
     "QueueOrder",
     "Refusal",
     "RefusalReason",
     "Rejected",
+    "RequestLedger",
     "RetryBudget",
     "RetryDecision",
     "RetryPolicy",
@@ -48,4 +74,11 @@
     "SaturationBreaker",
     "ShedPolicy",
     "ZoneAwareBalancer",
+    "choose_home",
+    "choose_host",
+    "choose_hosts",
+    "digest_request_key",
+    "fingerprint",
+    "receive_deadline",
+    "remaining_for_hop",
 ]
--- /dev/null
+++ b/foxtailway/routing/rendezvous.py
@@ -0,0 +1,31 @@
+"""Rendezvous hashing: the same choice of hosts at every node."""
+
+from collections.abc import Iterable
+from heapq import nlargest
+
+from xxhash import xxh3_64_intdigest
+
+from foxtailway.model.host import Host
+
+__all__ = ["choose_host", "choose_hosts"]
+
+
+def choose_host(key: str, hosts: Iterable[Host]) -> Host | None:
+    """Return the host that ranks first for a key, or None without hosts.
+
+    Removing another host never changes the choice, and adding a host changes
+    it only in favour of that host.
+    """
+    seed = xxh3_64_intdigest(key.encode())
+    return max(hosts, key=lambda host: rank(host, seed), default=None)
+
+
+def choose_hosts(key: str, hosts: Iterable[Host], n_hosts: int) -> tuple[Host, ...]:
+    """Return the `n_hosts` hosts that rank first for a key."""
+    seed = xxh3_64_intdigest(key.encode())
+    return tuple(nlargest(n_hosts, hosts, key=lambda host: rank(host, seed)))
+
+
+def rank(host: Host, seed: int) -> tuple[int, str]:
+    """Return the rank of a host for the hash of a key."""
+    return xxh3_64_intdigest(host.host_id.encode(), seed), host.host_id
