Run the whole path from an operator's edit to a served request

Cause: the parts existed only side by side. Change: HTTP ingress, dispatcher, call streams with msgpack, the runner beside the upstream (slots, ledger, home, quarantine), the curl client of the upstream, the node daemon, the operator command and a demonstration of separate processes with a stand-in of the paid link. Ruled out: leaving repeats to libcurl. It sends a request again when a reused connection closes before the answer; the test with FRESH_CONNECT switched off saw a request that is not idempotent arrive twice, so such requests get a connection of their own. Conclusion: the path holds; failures are not proved yet.

--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Example deployments."""
--- /dev/null
+++ b/examples/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration: one deployment as separate processes on loopback."""
--- /dev/null
+++ b/foxtailway/cli/main.py
@@ -0,0 +1,62 @@
+"""Entry point of the operator command."""
+
+import sys
+from argparse import ArgumentParser
+from collections.abc import Sequence
+
+from foxtailway.cli.audit import AuditCommand
+from foxtailway.cli.check import CheckCommand
+from foxtailway.cli.command import Command
+from foxtailway.cli.diff import DiffCommand
+from foxtailway.cli.render import RenderCommand
+from foxtailway.cli.status import StatusCommand
+from foxtailway.cli.wait import WaitCommand
+
+__all__ = ["main"]
+
+COMMANDS: tuple[Command, ...] = (
+    CheckCommand(),
+    RenderCommand(),
+    DiffCommand(),
+    StatusCommand(),
+    AuditCommand(),
+    WaitCommand(),
+)
+
+
+def make_parser() -> ArgumentParser:
+    """Return the parser of the operator command."""
+    parser = ArgumentParser(
+        prog="foxtailway",
+        description="Check and watch the configuration of a foxtailway mesh.",
+        epilog="Exit codes: 0 fine, 1 the finding is bad, 2 usage.",
+    )
+    subparsers = parser.add_subparsers(metavar="COMMAND", required=True)
+    for command in COMMANDS:
+        subparser = subparsers.add_parser(
+            command.name, help=command.summary, description=command.summary
+        )
+        command.configure(subparser)
+        subparser.set_defaults(command=command)
+    return parser
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the operator command and return its exit code.
+
+    Parameters
+    ----------
+    arguments : sequence of str, optional
+        Words after the program's name; those of the process by default.
+
+    Returns
+    -------
+    int
+        0 fine, 1 the finding is bad, 2 usage.
+    """
+    parsed = make_parser().parse_args(arguments)
+    return int(parsed.command.run(parsed))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/foxtailway/node/daemon.py
@@ -0,0 +1,254 @@
+"""Composition of one node."""
+
+import asyncio
+from contextlib import AsyncExitStack
+from random import Random
+
+from tornado.ioloop import PeriodicCallback
+
+from foxtailway.common.clock import Clock
+from foxtailway.config.compiler import SnapshotCompiler
+from foxtailway.distribution.agent import DistributionAgent
+from foxtailway.distribution.message import CONTROL_MESSAGE_TYPES
+from foxtailway.distribution.placement import Topology
+from foxtailway.model.host import HostState
+from foxtailway.model.snapshot import Snapshot
+from foxtailway.node.acceptor import NodeAcceptor
+from foxtailway.node.applier import SnapshotApplier, SnapshotObserver
+from foxtailway.node.observer import NodeObserver
+from foxtailway.node.status import NodeStatusReader
+from foxtailway.observe.admin import AdminServer
+from foxtailway.proxy.channel import ChannelPool
+from foxtailway.proxy.dispatcher import CallDispatcher
+from foxtailway.proxy.ingress import HttpIngress
+from foxtailway.proxy.local import LocalTransport
+from foxtailway.proxy.message import CALL_MESSAGE_TYPES
+from foxtailway.proxy.responder import CallResponder
+from foxtailway.proxy.routing_state import RoutingState
+from foxtailway.proxy.runner import RequestRunner
+from foxtailway.proxy.slot import SlotGate
+from foxtailway.proxy.upstream import CurlUpstreamClient
+from foxtailway.routing.admission import AdmissionQueue
+from foxtailway.routing.deadline import PauseDetector
+from foxtailway.routing.limit import AdaptiveLimit
+from foxtailway.settings.model import NodeSettings
+from foxtailway.source.collector import BundleCollector
+from foxtailway.transport.codec import MessageCodec
+from foxtailway.transport.listener import MeshListener
+from foxtailway.transport.stream import Dialer
+
+__all__ = ["NodeDaemon", "make_codec"]
+
+TICK_S = 0.25
+PAUSE_TOLERANCE_S = 0.5
+INITIAL_N_SLOTS = 1
+
+
+def make_codec() -> MessageCodec:
+    """Return the codec of the mesh port."""
+    return MessageCodec(message_types=CONTROL_MESSAGE_TYPES + CALL_MESSAGE_TYPES)
+
+
+class NodeDaemon(SnapshotObserver):
+    """Own all parts of a node and start and stop them in order.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Settings of the node.
+    clock : Clock
+        Source of time.
+    random_source : Random
+        Source of jitter.
+    control_dialer, call_dialer : Dialer
+        Open streams to other nodes for control and for calls.
+    collector : BundleCollector
+        Reads the platform.
+    observer : NodeObserver
+        Audit, metrics and logs.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: NodeSettings,
+        clock: Clock,
+        random_source: Random,
+        control_dialer: Dialer,
+        call_dialer: Dialer,
+        collector: BundleCollector,
+        observer: NodeObserver,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.observer = observer
+        self.exit_stack = AsyncExitStack()
+        self.state = RoutingState(
+            zone=settings.host.zone, clock=clock, random_source=random_source
+        )
+        self.pauses = PauseDetector(
+            interval_s=TICK_S,
+            tolerance_s=PAUSE_TOLERANCE_S,
+            settle_s=TICK_S,
+            now=clock.now(),
+        )
+        self.gate = make_gate(settings, clock)
+        self.client = make_upstream_client(settings)
+        self.pool = ChannelPool(
+            settings=settings, dialer=call_dialer, clock=clock, observer=observer
+        )
+        self.runner = RequestRunner(
+            settings=settings,
+            clock=clock,
+            state=self.state,
+            gate=self.gate,
+            client=self.client,
+            pool=self.pool,
+            pauses=self.pauses,
+            observer=observer,
+        )
+        self.responder = CallResponder(
+            settings=settings,
+            clock=clock,
+            runner=self.runner,
+            pauses=self.pauses,
+            observer=observer,
+        )
+        self.dispatcher = CallDispatcher(
+            settings=settings,
+            clock=clock,
+            state=self.state,
+            pool=self.pool,
+            local=LocalTransport(runner=self.runner),
+            observer=observer,
+            random_source=random_source,
+        )
+        self.agent = DistributionAgent(
+            settings=settings,
+            clock=clock,
+            random_source=random_source,
+            dialer=control_dialer,
+            collector=collector,
+            sink=SnapshotApplier(
+                compiler=SnapshotCompiler(site=settings.host.zone), observer=self
+            ),
+            observer=observer,
+        )
+        self.ingresses = tuple(
+            HttpIngress(
+                handler=self.dispatcher,
+                is_trusted=is_trusted,
+                service=settings.upstream.service if is_trusted else None,
+                max_body_size=settings.calls.max_message_size,
+            )
+            for is_trusted in (False, True)
+        )
+
+    async def start(self) -> None:
+        """Listen and start to obtain versions."""
+        settings = self.settings
+        self.exit_stack.callback(self.client.close)
+        self.exit_stack.callback(self.gate.close)
+        ticker = PeriodicCallback(self.tick, TICK_S * 1000)
+        ticker.start()
+        self.exit_stack.callback(ticker.stop)
+        listener = MeshListener(
+            codec=make_codec(),
+            max_message_size=settings.calls.max_message_size,
+            acceptor=NodeAcceptor(
+                agent=self.agent, responder=self.responder, observer=self.observer
+            ),
+        )
+        listener.listen(settings.listen.mesh_port, settings.host.address)
+        self.exit_stack.callback(listener.stop)
+        self.exit_stack.callback(self.pool.close)
+        ports = (settings.listen.client_port, settings.listen.local_port)
+        for ingress, port in zip(self.ingresses, ports, strict=True):
+            ingress.listen(address=settings.host.address, port=port)
+            self.exit_stack.push_async_callback(ingress.close)
+        self.agent.start()
+        self.exit_stack.push_async_callback(self.agent.stop)
+        self.start_admin()
+
+    def tick(self) -> None:
+        """Note that the process runs and how fresh its view is."""
+        now = self.clock.now()
+        self.pauses.observe(now)
+        age_s = self.agent.core.context.freshness.age_s(now)
+        if age_s is not None:
+            self.runner.home_guard.confirm(now - age_s)
+
+    def start_admin(self) -> None:
+        """Listen on the admin port."""
+        admin = AdminServer(
+            address=self.settings.host.address,
+            port=self.settings.listen.admin_port,
+            provider=NodeStatusReader(
+                host=self.settings.host,
+                state=self.state,
+                agent=self.agent,
+                dispatcher=self.dispatcher,
+                observer=self.observer,
+            ),
+            trail=self.observer.trail,
+            metrics=self.observer.metrics,
+        )
+        admin.start()
+        self.exit_stack.push_async_callback(admin.stop)
+
+    def snapshot_applied(self, snapshot: Snapshot) -> None:
+        """Put a snapshot in force."""
+        self.state.swap(snapshot)
+        own_cluster = snapshot.clusters.get(self.settings.upstream.service)
+        if own_cluster is not None:
+            self.gate.configure(own_cluster)
+        self.runner.home_guard.update(
+            snapshot.endpoints.get(self.settings.upstream.service, ()),
+            snapshot.hosts,
+            snapshot.hosts_version,
+            self.clock.now(),
+        )
+        self.pool.retain(frozenset(snapshot.hosts))
+        self.agent.update_topology(
+            Topology(
+                hosts=tuple(snapshot.hosts.values()),
+                zone_regions=snapshot.zone_regions,
+            )
+        )
+        own_host = snapshot.hosts.get(self.settings.host.host_id)
+        is_leaving = own_host is not None and own_host.state is HostState.LEAVING
+        self.responder.set_leaving(is_leaving)
+
+    async def stop(self) -> None:
+        """Stop gracefully: take no new work, finish what runs, then close."""
+        self.dispatcher.is_stopping = True
+        timeout_s = self.settings.calls.stop_timeout_s
+        await asyncio.gather(
+            self.responder.drain(timeout_s), self.dispatcher.drain(timeout_s)
+        )
+        for ingress in self.ingresses:
+            ingress.stop()
+        await self.exit_stack.aclose()
+
+
+def make_gate(settings: NodeSettings, clock: Clock) -> SlotGate:
+    """Return the gate of the upstream's slots before a snapshot is in force."""
+    queue = AdmissionQueue(
+        host_id=settings.host.host_id,
+        limit_policy=AdaptiveLimit(n_slots=INITIAL_N_SLOTS),
+        n_queued=0,
+        queue_timeout_s=0.0,
+    )
+    return SlotGate(queue=queue, clock=clock)
+
+
+def make_upstream_client(settings: NodeSettings) -> CurlUpstreamClient:
+    """Return the client of the host's own upstream."""
+    return CurlUpstreamClient(
+        host_id=settings.host.host_id,
+        address=settings.upstream.address,
+        port=settings.upstream.port,
+        connect_timeout_s=settings.upstream.connect_timeout_s,
+        n_connections=settings.calls.max_in_flight,
+        max_body_size=settings.calls.max_message_size,
+    )
--- /dev/null
+++ b/foxtailway/node/main.py
@@ -0,0 +1,129 @@
+"""Entry point of the node daemon."""
+
+import asyncio
+import signal
+import sys
+from argparse import ArgumentParser
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from random import Random
+
+from logbook import Logger
+from logbook.compat import redirected_logging
+
+from foxtailway.common.clock import MonotonicClock
+from foxtailway.config.generation import read_generation
+from foxtailway.node.daemon import NodeDaemon, make_codec
+from foxtailway.node.observer import NodeObserver
+from foxtailway.observe.audit import AuditTrail
+from foxtailway.observe.log import make_log_handler
+from foxtailway.observe.metrics import NodeMetrics
+from foxtailway.settings.load import load_settings
+from foxtailway.settings.model import NodeSettings
+from foxtailway.source.bundle_collector import SourceBundleCollector
+from foxtailway.source.http_reader import HttpSourceReader
+from foxtailway.transport.stream import Dialer, TcpDialer
+
+__all__ = ["main", "make_daemon", "make_dialer", "run_daemon", "run_logged"]
+
+EXIT_OK = 0
+EXIT_USAGE = 2
+
+
+def make_dialer(settings: NodeSettings) -> TcpDialer:
+    """Return a dialer that connects from the host's own address."""
+    return TcpDialer(
+        codec=make_codec(),
+        max_message_size=settings.calls.max_message_size,
+        source_address=settings.host.address,
+    )
+
+
+def make_daemon(
+    settings: NodeSettings, *, control_dialer: Dialer, call_dialer: Dialer
+) -> NodeDaemon:
+    """Compose a node from its settings."""
+    clock = MonotonicClock()
+    reader = HttpSourceReader(
+        settings=settings.platform, source_address=settings.host.address
+    )
+    observer = NodeObserver(
+        trail=AuditTrail(size=settings.audit_size, clock=clock),
+        metrics=NodeMetrics(host_id=settings.host.host_id),
+        logger=Logger("node"),
+    )
+    collector = SourceBundleCollector(
+        reader=reader, clock=clock, read_generation=read_generation
+    )
+    daemon = NodeDaemon(
+        settings=settings,
+        clock=clock,
+        random_source=Random(),
+        control_dialer=control_dialer,
+        call_dialer=call_dialer,
+        collector=collector,
+        observer=observer,
+    )
+    daemon.exit_stack.callback(reader.close)
+    return daemon
+
+
+async def run_daemon(daemon: NodeDaemon) -> None:
+    """Run a node until SIGTERM or SIGINT, then stop it gracefully."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await daemon.start()
+    await stopping.wait()
+    await daemon.stop()
+
+
+async def run_settings(settings: NodeSettings) -> None:
+    """Compose and run a node."""
+    dialer = make_dialer(settings)
+    daemon = make_daemon(settings, control_dialer=dialer, call_dialer=dialer)
+    await run_daemon(daemon)
+
+
+def main() -> int:
+    """Run the daemon and return the exit code."""
+    parser = ArgumentParser(
+        prog="foxtailway-node", description="Node of a foxtailway mesh."
+    )
+    parser.add_argument("--settings", type=Path, required=True, help="INI file")
+    arguments = parser.parse_args()
+    return run_logged(arguments.settings, run_settings)
+
+
+def run_logged(
+    path: Path, run: Callable[[NodeSettings], Coroutine[None, None, None]]
+) -> int:
+    """Load settings and run a node with logs as JSON lines.
+
+    Parameters
+    ----------
+    path : Path
+        Settings file.
+    run : callable
+        Coroutine function that runs the node until it is stopped.
+
+    Returns
+    -------
+    int
+        Exit code; 2 when the settings have findings, which are printed.
+    """
+    loaded = load_settings(path)
+    if loaded.is_error():
+        for finding in loaded.error:
+            print(finding, file=sys.stderr)
+        return EXIT_USAGE
+    settings = loaded.ok
+    handler = make_log_handler(host_id=settings.host.host_id, level=settings.log_level)
+    with handler.applicationbound(), redirected_logging():
+        asyncio.run(run(settings))
+    return EXIT_OK
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/foxtailway/proxy/header.py
@@ -0,0 +1,124 @@
+"""HTTP headers on their way through the mesh."""
+
+from collections.abc import Iterable
+
+from tornado.httputil import HTTPHeaders
+
+from foxtailway.proxy.message import Header
+from foxtailway.routing.outcome import Outcome, Refusal, RefusalReason
+
+__all__ = [
+    "DEADLINE_HEADER",
+    "HOPS_HEADER",
+    "IDEMPOTENCY_HEADER",
+    "MESH_PREFIX",
+    "OUTCOME_HEADER",
+    "REASON_HEADER",
+    "forwardable_headers",
+    "outcome_headers",
+    "parse_non_negative",
+    "status_of_refusal",
+]
+
+MESH_PREFIX = "x-foxtailway-"
+DEADLINE_HEADER = "X-Foxtailway-Deadline-Ms"
+HOPS_HEADER = "X-Foxtailway-Hops"
+OUTCOME_HEADER = "X-Foxtailway-Outcome"
+REASON_HEADER = "X-Foxtailway-Reason"
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+
+HOP_BY_HOP_NAMES = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+REFUSAL_STATUS = {
+    RefusalReason.OVERLOADED: 503,
+    RefusalReason.DRAINING: 503,
+    RefusalReason.EXPIRED: 504,
+    RefusalReason.CANCELLED: 499,
+    RefusalReason.NO_ROUTE: 404,
+    RefusalReason.NO_ENDPOINT: 503,
+    RefusalReason.NOT_READY: 503,
+    RefusalReason.HOP_LIMIT: 508,
+    RefusalReason.TOO_LARGE: 413,
+    RefusalReason.MALFORMED: 400,
+    RefusalReason.QUARANTINED: 503,
+    RefusalReason.REPEATED: 409,
+    RefusalReason.LOST: 502,
+}
+
+
+def forwardable_headers(headers: HTTPHeaders) -> tuple[Header, ...]:
+    """Return the end-to-end headers, without those of the mesh.
+
+    Headers named by ``Connection`` belong to one hop and are left out too.
+
+    Parameters
+    ----------
+    headers : HTTPHeaders
+        Headers as received.
+
+    Returns
+    -------
+    tuple of Header
+        Headers to pass on, in their order.
+
+    References
+    ----------
+    RFC 9110, section 7.6.1.
+    """
+    named = {
+        token.strip().lower() for token in headers.get("Connection", "").split(",")
+    }
+    dropped = HOP_BY_HOP_NAMES | named
+    return tuple(
+        Header(name=name, value=value)
+        for name, value in headers.get_all()
+        if name.lower() not in dropped and not name.lower().startswith(MESH_PREFIX)
+    )
+
+
+def outcome_headers(
+    *, outcome: Outcome, refusal: Refusal | None = None
+) -> Iterable[Header]:
+    """Return the headers that tell the caller what became of its request."""
+    yield Header(name=OUTCOME_HEADER, value=outcome.value)
+    if refusal is None:
+        return
+    yield Header(name=REASON_HEADER, value=refusal.reason.value)
+    if refusal.retry_after_s > 0:
+        seconds = max(1, round(refusal.retry_after_s))
+        yield Header(name="Retry-After", value=str(seconds))
+
+
+def status_of_refusal(refusal: Refusal) -> int:
+    """Return the HTTP status of a refusal."""
+    return REFUSAL_STATUS[refusal.reason]
+
+
+def parse_non_negative(text: str | None) -> int | None:
+    """Return a header's decimal value, or None for anything else.
+
+    Examples
+    --------
+    >>> parse_non_negative("12")
+    12
+    >>> parse_non_negative("-1") is None
+    True
+    """
+    if text is None or not text.isascii() or not text.isdigit() or len(text) > 9:
+        return None
+    return int(text)
--- /dev/null
+++ b/foxtailway/proxy/ingress.py
@@ -0,0 +1,199 @@
+"""HTTP listener for calls of clients and of the host's own upstream."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+
+from expression import Result
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+
+from foxtailway.proxy.header import (
+    DEADLINE_HEADER,
+    HOPS_HEADER,
+    IDEMPOTENCY_HEADER,
+    forwardable_headers,
+    outcome_headers,
+    parse_non_negative,
+    status_of_refusal,
+)
+from foxtailway.proxy.message import CallResponse, Header
+from foxtailway.routing.outcome import Outcome, Refusal
+
+__all__ = ["CallHandler", "HttpIngress", "InboundCall"]
+
+MAX_HEADER_SIZE_BYTES = 65_536
+MAX_KEY_LENGTH = 200
+BODY_TIMEOUT_S = 10.0
+IDLE_TIMEOUT_S = 75.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InboundCall:
+    """Describe a call as it entered the mesh.
+
+    Parameters
+    ----------
+    method, path, target : str
+        HTTP method, path without query, and request target.
+    headers : tuple of Header
+        End-to-end headers.
+    header_size : int
+        Size of all received headers, in bytes.
+    body : bytes
+        Whole request body.
+    caller : str
+        Identity under which the call shares limits fairly.
+    n_hops : int
+        Nodes that the chain of calls passed before this one.
+    remaining_s : float or None
+        Time left as told by the caller, in seconds; None when not told.
+    idempotency_key : str
+        Key sent by the caller; empty when none was sent.
+    """
+
+    method: str
+    path: str
+    target: str
+    headers: tuple[Header, ...]
+    header_size: int
+    body: bytes = field(repr=False)
+    caller: str
+    n_hops: int
+    remaining_s: float | None
+    idempotency_key: str
+
+
+class CallHandler(ABC):
+    """Carry an inbound call to its end."""
+
+    @abstractmethod
+    async def handle(self, call: InboundCall) -> Result[CallResponse, Refusal]:
+        """Return the whole answer or a typed refusal."""
+
+
+class HttpIngress:
+    """Accept HTTP calls on one port.
+
+    Parameters
+    ----------
+    handler : CallHandler
+        Carries the calls.
+    is_trusted : bool
+        Whether the callers' mesh headers are believed. Those of clients are
+        not: they are removed and ignored.
+    service : str or None
+        Caller to which all calls of this port are ascribed; None ascribes
+        them to the address of the client.
+    max_body_size : int
+        Largest body that is read, in bytes.
+    """
+
+    def __init__(
+        self,
+        *,
+        handler: CallHandler,
+        is_trusted: bool,
+        service: str | None,
+        max_body_size: int,
+    ) -> None:
+        self.handler = handler
+        self.is_trusted = is_trusted
+        self.service = service
+        self.tasks: set[asyncio.Task] = set()
+        self.server = HTTPServer(
+            self.accept,
+            max_header_size=MAX_HEADER_SIZE_BYTES,
+            max_body_size=max_body_size,
+            max_buffer_size=max_body_size + MAX_HEADER_SIZE_BYTES,
+            body_timeout=BODY_TIMEOUT_S,
+            idle_connection_timeout=IDLE_TIMEOUT_S,
+        )
+
+    def listen(self, *, address: str, port: int) -> None:
+        """Start to accept connections."""
+        self.server.listen(port, address)
+
+    def stop(self) -> None:
+        """Accept no further connections."""
+        self.server.stop()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.server.close_all_connections()
+
+    def accept(self, request: HTTPServerRequest) -> None:
+        """Start to serve one request."""
+        task = asyncio.ensure_future(self.serve(request))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        request.connection.set_close_callback(task.cancel)
+
+    async def serve(self, request: HTTPServerRequest) -> None:
+        """Carry one request and write its answer."""
+        call = read_call(request, is_trusted=self.is_trusted, service=self.service)
+        result = await self.handler.handle(call)
+        if result.is_ok():
+            write_answer(request, result.ok)
+        else:
+            write_refusal(request, result.error)
+
+
+def read_call(
+    request: HTTPServerRequest, *, is_trusted: bool, service: str | None
+) -> InboundCall:
+    """Return the call described by an HTTP request."""
+    headers = request.headers
+    n_hops = None
+    remaining_ms = None
+    if is_trusted:
+        n_hops = parse_non_negative(headers.get(HOPS_HEADER))
+        remaining_ms = parse_non_negative(headers.get(DEADLINE_HEADER))
+    return InboundCall(
+        method=request.method or "",
+        path=request.path,
+        target=request.uri or "/",
+        headers=forwardable_headers(headers),
+        header_size=sum(
+            len(name) + len(value) + 4 for name, value in headers.get_all()
+        ),
+        body=request.body,
+        caller=service or request.remote_ip or "",
+        n_hops=n_hops or 0,
+        remaining_s=None if remaining_ms is None else remaining_ms / 1000,
+        idempotency_key=headers.get(IDEMPOTENCY_HEADER, "")[:MAX_KEY_LENGTH],
+    )
+
+
+def write_answer(request: HTTPServerRequest, answer: CallResponse) -> None:
+    """Write the whole answer of an upstream."""
+    headers = [*answer.headers, *outcome_headers(outcome=Outcome.RAN)]
+    write_response(request, answer.status, headers, answer.body)
+
+
+def write_refusal(request: HTTPServerRequest, refusal: Refusal) -> None:
+    """Write a refusal and what became of the request."""
+    headers = [
+        Header(name="Content-Type", value="text/plain; charset=utf-8"),
+        *outcome_headers(outcome=refusal.outcome, refusal=refusal),
+    ]
+    text = f"{refusal.outcome.value}: {refusal.reason.value}\n"
+    write_response(request, status_of_refusal(refusal), headers, text.encode())
+
+
+def write_response(
+    request: HTTPServerRequest, status: int, headers: list[Header], body: bytes
+) -> None:
+    """Write a response with its length and finish the request."""
+    response_headers = HTTPHeaders()
+    for header in headers:
+        response_headers.add(header.name, header.value)
+    may_have_body = status >= 200 and status not in (204, 304)
+    if may_have_body:
+        response_headers["Content-Length"] = str(len(body))
+    start_line = ResponseStartLine("HTTP/1.1", status, "")
+    is_head = request.method == "HEAD"
+    connection = request.connection
+    chunk = body if may_have_body and not is_head else None
+    connection.write_headers(start_line, response_headers, chunk=chunk)
+    connection.finish()
--- /dev/null
+++ b/foxtailway/proxy/tests/test_upstream.py
@@ -0,0 +1,160 @@
+import asyncio
+import unittest
+
+from foxtailway.proxy.message import CallRequest
+from foxtailway.proxy.upstream import CancelToken, CurlUpstreamClient
+from foxtailway.routing.outcome import Outcome, RefusalReason
+
+
+def make_request(*, is_idempotent: bool) -> CallRequest:
+    return CallRequest(
+        call_id=1,
+        route="holds",
+        cluster="regatta-holds",
+        method="GET" if is_idempotent else "POST",
+        target="/holds",
+        headers=(),
+        body=b"" if is_idempotent else b"hold",
+        remaining_s=2.0,
+        n_hops=1,
+        caller="client",
+        priority=0,
+        is_idempotent=is_idempotent,
+        idempotency_key="" if is_idempotent else "key",
+        is_key_fresh=True,
+        window_s=30.0,
+        fingerprint="",
+    )
+
+
+class ScriptedUpstream:
+    """Answer the requests in turn with raw bytes, or close for None."""
+
+    def __init__(self, answers: list[bytes | None]) -> None:
+        self.answers = answers
+        self.n_requests = 0
+        self.n_connections = 0
+
+    async def start(self) -> int:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.n_connections += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                if b"Content-Length: 4" in head:
+                    await reader.readexactly(4)
+                answer = self.answers[min(self.n_requests, len(self.answers) - 1)]
+                self.n_requests += 1
+                if answer is None:
+                    return
+                writer.write(answer)
+                await writer.drain()
+                if b"Connection: close" in answer:
+                    return
+        except (asyncio.IncompleteReadError, asyncio.CancelledError):
+            return
+        finally:
+            writer.close()
+
+
+OK_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+SHORT_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nok"
+
+
+class CurlUpstreamClientTest(unittest.IsolatedAsyncioTestCase):
+    async def make_client(self, port: int, *, max_body_size: int = 1000):
+        client = CurlUpstreamClient(
+            host_id="host",
+            address="127.0.0.1",
+            port=port,
+            connect_timeout_s=1.0,
+            n_connections=4,
+            max_body_size=max_body_size,
+        )
+        self.addCleanup(client.close)
+        return client
+
+    async def run_requests(self, answers, requests, **options):
+        upstream = ScriptedUpstream(answers)
+        client = await self.make_client(await upstream.start(), **options)
+        self.addCleanup(upstream.server.close)
+        results = [
+            await client.run(
+                request, timeout_s=2.0, credential=None, token=CancelToken()
+            )
+            for request in requests
+        ]
+        return upstream, results
+
+    async def test_request_lost_on_a_reused_connection_is_not_sent_twice(self):
+        posts = [make_request(is_idempotent=False)] * 2
+        upstream, results = await self.run_requests([OK_ANSWER, None], posts)
+        self.assertTrue(results[0].is_ok())
+        self.assertEqual(results[1].error.outcome, Outcome.UNKNOWN)
+        self.assertEqual(results[1].error.reason, RefusalReason.LOST)
+        self.assertEqual(upstream.n_requests, 2)
+
+    async def test_connection_is_reused_for_idempotent_requests(self):
+        gets = [make_request(is_idempotent=True)] * 3
+        upstream, results = await self.run_requests([OK_ANSWER], gets)
+        self.assertTrue(all(result.is_ok() for result in results))
+        self.assertEqual(upstream.n_connections, 1)
+
+    async def test_short_body_is_not_passed_off_as_whole(self):
+        _, results = await self.run_requests(
+            [SHORT_ANSWER], [make_request(is_idempotent=True)]
+        )
+        self.assertEqual(results[0].error.outcome, Outcome.UNKNOWN)
+        self.assertEqual(results[0].error.reason, RefusalReason.LOST)
+
+    async def test_oversized_body_is_refused(self):
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n" + b"x" * 50
+        _, results = await self.run_requests(
+            [answer], [make_request(is_idempotent=True)], max_body_size=10
+        )
+        self.assertEqual(results[0].error.reason, RefusalReason.TOO_LARGE)
+
+    async def test_closed_port_means_not_run(self):
+        upstream = ScriptedUpstream([OK_ANSWER])
+        port = await upstream.start()
+        upstream.server.close()
+        client = await self.make_client(port)
+        result = await client.run(
+            make_request(is_idempotent=False),
+            timeout_s=2.0,
+            credential=None,
+            token=CancelToken(),
+        )
+        self.assertEqual(result.error.outcome, Outcome.NOT_RUN)
+
+    async def test_cancelled_request_is_aborted(self):
+        started = asyncio.Event()
+        closed = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            started.set()
+            while await reader.read(100):
+                pass
+            closed.set()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        client = await self.make_client(server.sockets[0].getsockname()[1])
+        token = CancelToken()
+        request = make_request(is_idempotent=True)
+        task = asyncio.ensure_future(
+            client.run(request, timeout_s=30.0, credential=None, token=token)
+        )
+        await started.wait()
+        token.cancel()
+        result = await task
+        self.assertEqual(result.error.outcome, Outcome.UNKNOWN)
+        self.assertEqual(result.error.reason, RefusalReason.CANCELLED)
+        await asyncio.wait_for(closed.wait(), 5)
--- a/foxtailway/routing/balancer.py
+++ b/foxtailway/routing/balancer.py
@@ -19,6 +19,7 @@
     FAILED = "failed"
     LOST = "lost"
     TIMED_OUT = "timed-out"
+    CANCELLED = "cancelled"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/foxtailway/routing/endpoint.py
+++ b/foxtailway/routing/endpoint.py
@@ -73,8 +73,10 @@
     def observe(self, observation: CallObservation, now: float) -> None:
         """Learn from the end of one call."""
         self.refresh(now)
-        self.observed_at = now
         kind = observation.kind
+        if kind is ObservationKind.CANCELLED:
+            return
+        self.observed_at = now
         is_refused = kind is ObservationKind.REFUSED_OVERLOAD
         self.refusal_ratio += SMOOTHING * (is_refused - self.refusal_ratio)
         if kind is ObservationKind.SUCCESS:
--- /dev/null
+++ b/foxtailway/testing/fleet.py
@@ -0,0 +1,243 @@
+"""A whole deployment as separate processes on loopback addresses."""
+
+import asyncio
+import json
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPClientError
+
+from foxtailway.testing.deployment import (
+    LINK_CONTROL_PORT,
+    LINK_NAIVE_PORT,
+    LINK_PLATFORM_PORT,
+    LINK_PORT,
+    PLATFORM_PORT,
+    UPSTREAM_PORT,
+    Deployment,
+    HostPlan,
+)
+from foxtailway.testing.process import ProcessGroup
+
+__all__ = ["Fleet", "NodeView", "rank_version"]
+
+POLL_S = 0.05
+REQUEST_TIMEOUT_S = 3.0
+PLATFORM_NAME = "platform"
+LINK_NAME = "link"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NodeView:
+    """Hold what a node's admin port answered; None when it did not answer."""
+
+    host: HostPlan
+    status: dict[str, Any] | None
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the configuration in force, or 0."""
+        text = (self.status or {}).get("config_version")
+        return rank_version(text)[1] if text else 0
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the node takes calls."""
+        return bool(self.status and self.status["is_ready"])
+
+
+def rank_version(text: str) -> tuple[int, int]:
+    """Return generation and revision of a printed version."""
+    numbers, _, _ = text.partition("-")
+    generation, _, revision = numbers.partition(".")
+    return int(generation), int(revision)
+
+
+class Fleet:
+    """Start, watch and stop the processes of a deployment.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Layout of the hosts.
+    folder : Path
+        Folder for settings and logs.
+    """
+
+    def __init__(self, *, deployment: Deployment, folder: Path) -> None:
+        self.deployment = deployment
+        self.folder = folder
+        self.processes = ProcessGroup(log_folder=folder)
+        self.client = CurlAsyncHTTPClient(force_instance=True, max_clients=64)
+
+    def start_platform(self) -> None:
+        """Start the platform and the link between the regions."""
+        address = self.deployment.platform_address
+        self.processes.start(
+            PLATFORM_NAME,
+            "foxtailway.testing.platform",
+            ["--address", address, "--port", str(PLATFORM_PORT)],
+        )
+        forwards = []
+        for port, label in (
+            (LINK_PLATFORM_PORT, "platform"),
+            (LINK_NAIVE_PORT, "naive"),
+        ):
+            target = f"{port}={label} {address} {PLATFORM_PORT}"
+            forwards += ["--forward", target]
+        self.processes.start(
+            LINK_NAME,
+            "foxtailway.testing.link",
+            [
+                "--address",
+                address,
+                "--port",
+                str(LINK_PORT),
+                "--control-port",
+                str(LINK_CONTROL_PORT),
+                *forwards,
+            ],
+        )
+
+    def start_upstream(self, host: HostPlan) -> None:
+        """Start the upstream of a host."""
+        self.processes.start(
+            f"upstream-{host.host_id}",
+            "foxtailway.testing.upstream",
+            ["--address", host.address, "--port", str(UPSTREAM_PORT)],
+        )
+
+    def start_node(self, host: HostPlan) -> None:
+        """Start the node of a host."""
+        path = self.folder / f"{host.host_id}.ini"
+        path.write_text(self.deployment.render_settings(host))
+        self.processes.start(
+            f"node-{host.host_id}",
+            "foxtailway.testing.linked_node",
+            [
+                "--settings",
+                str(path),
+                "--link-address",
+                self.deployment.platform_address,
+            ],
+        )
+
+    def start_hosts(self) -> None:
+        """Start upstream and node of every host."""
+        for host in self.deployment.hosts:
+            self.start_upstream(host)
+            self.start_node(host)
+
+    async def request(
+        self, url: str, *, method: str = "GET", body: bytes | None = None
+    ) -> Any:
+        """Make a request and return the decoded JSON answer, None on failure."""
+        try:
+            response = await self.client.fetch(
+                url,
+                method=method,
+                body=body,
+                request_timeout=REQUEST_TIMEOUT_S,
+                allow_nonstandard_methods=True,
+            )
+        except (HTTPClientError, OSError):
+            return None
+        return json.loads(response.body) if response.body else {}
+
+    async def publish(self, key: str, content: bytes) -> int:
+        """Have the platform accept a value and return its revision."""
+        url = f"{self.deployment.platform_url}/control/values/{key}"
+        answer = await self.request(url, method="PUT", body=content)
+        if answer is None:
+            raise RuntimeError(f"the platform refused {key}")
+        return answer["revision"]
+
+    async def publish_hosts(self, *, leaving: frozenset[str] = frozenset()) -> None:
+        """Have the platform accept the host lists of all zones."""
+        for zone in dict.fromkeys(host.zone for host in self.deployment.hosts):
+            content = self.deployment.render_hosts(zone, leaving=leaving)
+            await self.publish(f"hosts/{zone}", content)
+
+    async def set_faults(self, **faults: object) -> None:
+        """Set faults of the platform."""
+        url = f"{self.deployment.platform_url}/control/faults"
+        await self.request(url, method="POST", body=json.dumps(faults).encode())
+
+    async def count_platform_calls(self) -> dict[str, int]:
+        """Return the counters of the platform."""
+        return await self.request(f"{self.deployment.platform_url}/control/counters")
+
+    async def count_link_bytes(self) -> dict[str, int]:
+        """Return the counters of the link."""
+        return await self.request(self.deployment.link_control_url)
+
+    async def set_link(self, mode: str) -> None:
+        """Open, cut or silence the link."""
+        body = json.dumps({"mode": mode}).encode()
+        await self.request(self.deployment.link_control_url, method="POST", body=body)
+
+    async def view(self, host: HostPlan) -> NodeView:
+        """Return the state of a node."""
+        status = await self.request(f"http://{host.admin}/status")
+        return NodeView(host=host, status=status)
+
+    async def view_all(self) -> list[NodeView]:
+        """Return the state of every node."""
+        return await asyncio.gather(*map(self.view, self.deployment.hosts))
+
+    async def read_audit(self, host: HostPlan) -> list[dict[str, Any]]:
+        """Return the audit trail of a node; empty when it does not answer."""
+        answer = await self.request(f"http://{host.admin}/audit?since=0")
+        return answer["entries"] if answer else []
+
+    async def wait_until(self, check: Any, *, timeout_s: float, what: str) -> None:
+        """Wait until an asynchronous check returns True."""
+        deadline = time.monotonic() + timeout_s
+        while not await check():
+            if time.monotonic() > deadline:
+                raise TimeoutError(f"{what} not within {timeout_s} s")
+            await asyncio.sleep(POLL_S)
+
+    async def wait_platform(self) -> None:
+        """Wait until platform and link answer."""
+
+        async def is_up() -> bool:
+            platform = await self.count_platform_calls()
+            link = await self.count_link_bytes()
+            return platform is not None and link is not None
+
+        await self.wait_until(is_up, timeout_s=10.0, what="platform")
+
+    async def wait_ready(self, *, timeout_s: float = 30.0) -> None:
+        """Wait until every node takes calls."""
+
+        async def is_ready() -> bool:
+            return all(view.is_ready for view in await self.view_all())
+
+        await self.wait_until(is_ready, timeout_s=timeout_s, what="readiness")
+
+    async def wait_revision(
+        self,
+        revision: int,
+        *,
+        timeout_s: float = 15.0,
+        hosts: tuple[HostPlan, ...] | None = None,
+    ) -> None:
+        """Wait until a revision is in force on the given nodes, or on all."""
+        expected = hosts or self.deployment.hosts
+
+        async def is_applied() -> bool:
+            views = await asyncio.gather(*map(self.view, expected))
+            return all(view.revision >= revision for view in views)
+
+        await self.wait_until(
+            is_applied, timeout_s=timeout_s, what=f"revision {revision}"
+        )
+
+    def close(self) -> None:
+        """End all processes."""
+        self.processes.close()
+        self.client.close()
--- /dev/null
+++ b/foxtailway/testing/process.py
@@ -0,0 +1,81 @@
+"""Processes that a test or an example starts and ends."""
+
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+__all__ = ["ProcessGroup"]
+
+STOP_TIMEOUT_S = 15.0
+
+
+class ProcessGroup:
+    """Start Python modules as processes and end all of them by identifier.
+
+    Parameters
+    ----------
+    log_folder : Path
+        Folder that receives one log file for each process.
+    """
+
+    def __init__(self, *, log_folder: Path) -> None:
+        self.log_folder = log_folder
+        self.processes: dict[str, subprocess.Popen] = {}
+
+    def start(self, name: str, module: str, arguments: Sequence[str]) -> None:
+        """Start ``python -m module arguments`` under a name."""
+        log_path = self.log_folder / f"{name}.log"
+        with log_path.open("ab") as log_file:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log_file,
+                stderr=subprocess.STDOUT,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process."""
+        self.processes[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once."""
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def stop(self, name: str) -> int:
+        """End a process gracefully and return its exit code."""
+        process = self.processes.pop(name)
+        process.terminate()
+        return wait_or_kill(process)
+
+    def is_running(self, name: str) -> bool:
+        """Whether a process has not ended."""
+        process = self.processes.get(name)
+        return process is not None and process.poll() is None
+
+    def read_log(self, name: str) -> str:
+        """Return what a process has logged."""
+        return (self.log_folder / f"{name}.log").read_text(errors="replace")
+
+    def close(self) -> None:
+        """End all processes."""
+        for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        for process in self.processes.values():
+            wait_or_kill(process)
+        self.processes.clear()
+
+
+def wait_or_kill(process: subprocess.Popen) -> int:
+    """Wait for a process and kill it when it does not end in time."""
+    try:
+        return process.wait(STOP_TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        return process.wait()
