Check settings with the kinds of values of the configuration

Cause: the settings had a reader of INI, findings and units of their own beside those of the base file, so the same logic stood twice. Ruled out: moving the shared modules, which others are changing; the settings import them where they are. Names are lower case as in the base file; findings read as those of check. Switched off one by one, these make tests fail: the checks of ports, orders, unknown sections and unknown keys, duplicates of sections, lines of keys, the refusal of 0.0.0.0, of credentials and of port 0, a default that differs from the page.

--- a/foxtailway/cli/wait.py
+++ b/foxtailway/cli/wait.py
@@ -13,13 +13,17 @@
 from foxtailway.cli.node_report import NodeReport, VersionName, parse_version
 from foxtailway.common.clock import Clock, MonotonicClock
 from foxtailway.common.failure import Failure
-from foxtailway.common.quantity import parse_duration
+from foxtailway.config.schema import DURATION_UNITS
+from foxtailway.config.value_kind import UnitKind
 
 __all__ = ["WaitCommand", "wait_for_version"]
 
 INTERVAL_S = 0.2
 DEFAULT_TIMEOUT_S = 30.0
 MAX_NAMED_NODES = 8
+TIMEOUT_KIND = UnitKind(
+    lowest="0s", highest="24h", units=DURATION_UNITS, is_integer=False
+)
 
 
 def parse_version_argument(text: str) -> VersionName:
@@ -33,10 +37,10 @@
 
 def parse_timeout(text: str) -> float:
     """Return a duration in seconds; raise for other text."""
-    timeout_s = parse_duration(text)
-    if timeout_s is None:
-        raise ArgumentTypeError(f"{text!r} is not a duration with ms, s, min or h")
-    return timeout_s
+    timeout = TIMEOUT_KIND.parse(text)
+    if timeout.is_error():
+        raise ArgumentTypeError(str(timeout.error))
+    return timeout.ok
 
 
 class WaitCommand(Command):
--- a/foxtailway/settings/load.py
+++ b/foxtailway/settings/load.py
@@ -5,16 +5,18 @@
 
 from expression import Error, Ok, Result
 
-from foxtailway.common.finding import Finding
-from foxtailway.common.ini import IniDocument, IniSection, read_ini
+from foxtailway.config.finding import Defect, Finding, sort_findings
+from foxtailway.config.section import show_key
+from foxtailway.config.sectioned_document import MAX_DOCUMENT_BYTES, decode_document
+from foxtailway.model.bundle import make_document
+from foxtailway.settings.draft import SettingsDraft
 from foxtailway.settings.model import NodeSettings
 from foxtailway.settings.schema import SECTIONS
 from foxtailway.settings.spec import KeySpec, SectionSpec
 
 __all__ = ["load_settings", "parse_settings"]
 
-MAX_FILE_SIZE_BYTES = 100_000
-MAX_SHOWN_CHARACTERS = 60
+N_HEARTBEATS_OF_SILENCE = 2
 PORT_KEYS = ("mesh_port", "client_port", "local_port", "admin_port")
 
 
@@ -23,87 +25,69 @@
 
     Parameters
     ----------
-    document : IniDocument
-        Parsed file.
+    draft : SettingsDraft
+        Sections of the file.
     """
 
-    def __init__(self, *, document: IniDocument) -> None:
-        self.document = document
-        self.findings = list(document.findings)
+    def __init__(self, *, draft: SettingsDraft) -> None:
+        self.draft = draft
         self.values: dict[str, dict[str, Any]] = {}
 
     def check(self) -> Result[NodeSettings, tuple[Finding, ...]]:
         """Return the settings, or every finding in the order of the lines."""
         self.check_unknown_sections()
         for spec in SECTIONS:
-            self.values[spec.name] = self.check_section(spec)
-        self.check_order("distribution", "heartbeat", "silence", 2)
-        self.check_order("calls", "heartbeat", "silence", 2)
+            self.check_unknown_keys(spec)
+            self.values[spec.name] = {
+                key_spec.field: self.read_value(spec.name, key_spec)
+                for key_spec in spec.keys
+            }
+        for section in ("distribution", "calls"):
+            self.check_order(section, "heartbeat", "silence", N_HEARTBEATS_OF_SILENCE)
         self.check_order("distribution", "retry_base", "retry_max", 1)
         self.check_ports()
-        if self.findings:
-            return Error(tuple(sorted(self.findings, key=lambda item: item.line)))
+        if self.draft.findings:
+            return Error(sort_findings(self.draft.findings))
         return Ok(self.build())
 
-    def report(self, section: str, key: str, detail: str) -> None:
-        """Add a finding at the line of the key, its section or the file."""
-        line = 1
-        found = self.document.sections.get(section)
-        if found is not None:
-            entry = found.entries.get(key)
-            line = entry.line if entry is not None else found.line
-        self.findings.append(
-            Finding(
-                source=self.document.source,
-                line=line,
-                section=section,
-                key=key,
-                detail=detail,
-            )
-        )
+    def report(self, section: str, key: str, problem: str, allowed: str) -> None:
+        """Add a finding."""
+        self.draft.report(section, key, Defect(problem=problem, allowed=allowed))
 
     def check_unknown_sections(self) -> None:
         """Report sections that are not defined."""
         names = [spec.name for spec in SECTIONS]
-        for name in self.document.sections:
+        for name in self.draft.sections:
             if name not in names:
-                allowed = ", ".join(names)
-                self.report(name, "", f"unknown section; allowed are {allowed}")
-
-    def check_section(self, spec: SectionSpec) -> dict[str, Any]:
-        """Return the values of a section by field."""
-        section = self.document.sections.get(spec.name)
-        if section is not None:
-            self.check_unknown_keys(spec, section)
-        return {
-            key_spec.field: self.check_key(spec.name, key_spec, section)
-            for key_spec in spec.keys
-        }
+                self.report(name, "", "the section is unknown", ", ".join(names))
 
-    def check_unknown_keys(self, spec: SectionSpec, section: IniSection) -> None:
+    def check_unknown_keys(self, spec: SectionSpec) -> None:
         """Report keys that are not defined."""
+        section = self.draft.sections.get(spec.name)
+        if section is None:
+            return
         names = [key_spec.key for key_spec in spec.keys]
-        for key in section.entries:
+        for key, entry in section.entries.items():
             if key not in names:
-                allowed = ", ".join(names)
-                self.report(spec.name, key, f"unknown key; allowed are {allowed}")
-
-    def check_key(
-        self, section_name: str, spec: KeySpec, section: IniSection | None
-    ) -> Any:
+                defect = Defect(problem="the key is unknown", allowed=", ".join(names))
+                self.draft.add(
+                    line=entry.line,
+                    section=spec.name,
+                    key=show_key(key),
+                    defect=defect,
+                )
+
+    def read_value(self, section: str, spec: KeySpec) -> Any:
         """Return the value of a key, its default, or None after a finding."""
-        entry = section.entries.get(spec.key) if section is not None else None
+        entry = self.draft.find(section, spec.key)
         if entry is None and spec.default is None:
-            allowed = spec.value.describe()
-            self.report(section_name, spec.key, f"missing; needed is {allowed}")
+            self.report(section, spec.key, "the key is required", spec.kind.allowed)
+            return None
+        parsed = spec.kind.parse(spec.default if entry is None else entry.text)
+        if parsed.is_error():
+            self.draft.report(section, spec.key, parsed.error)
             return None
-        text = entry.value if entry is not None else spec.default
-        value = spec.value.parse(text)
-        if value is None:
-            shown = repr(text[:MAX_SHOWN_CHARACTERS])
-            detail = f"{shown} is not allowed; allowed is {spec.value.describe()}"
-            self.report(section_name, spec.key, detail)
-        return value
+        return parsed.ok
 
     def check_order(self, section: str, smaller: str, larger: str, factor: int) -> None:
         """Report a duration below `factor` times another one."""
@@ -112,8 +96,8 @@
         if smaller_s is None or larger_s is None:
             return
         if larger_s < factor * smaller_s:
-            detail = f"too short; allowed is at least {factor} times {smaller}"
-            self.report(section, larger, detail)
+            allowed = f"at least {factor} times {smaller}"
+            self.report(section, larger, "the duration is too short", allowed)
 
     def check_ports(self) -> None:
         """Report ports of the host that are used twice."""
@@ -123,13 +107,13 @@
             port = ports[key]
             first = keys_by_port.setdefault(port, key)
             if port is not None and first != key:
-                detail = f"same port as {first}; allowed is a port of its own"
-                self.report("listen", key, detail)
+                problem = f"the port is the one of {first}"
+                self.report("listen", key, problem, "a port of its own")
         upstream = self.values["upstream"]
         is_same_address = upstream["address"] == self.values["host"]["address"]
         if is_same_address and upstream["port"] in keys_by_port:
-            detail = "port of the node itself; allowed is another port"
-            self.report("upstream", "port", detail)
+            problem = "the port is one of the node's"
+            self.report("upstream", "port", problem, "another port")
 
     def build(self) -> NodeSettings:
         """Return the settings of a file without findings."""
@@ -158,10 +142,11 @@
     Result
         The settings, or every finding.
     """
-    document = read_ini(content, source=source, max_size=MAX_FILE_SIZE_BYTES)
-    if not document.sections:
-        return Error(document.findings)
-    return SettingsChecker(document=document).check()
+    decoded = decode_document(make_document(key=source, content=content))
+    if decoded.is_error():
+        return Error((decoded.error,))
+    draft = SettingsDraft(source=source, text=decoded.ok)
+    return SettingsChecker(draft=draft).check()
 
 
 def load_settings(path: Path | str) -> Result[NodeSettings, tuple[Finding, ...]]:
@@ -180,9 +165,12 @@
     source = str(path)
     try:
         with open(path, "rb") as file:
-            content = file.read(MAX_FILE_SIZE_BYTES + 1)
+            content = file.read(MAX_DOCUMENT_BYTES + 1)
     except OSError as error:
-        detail = f"can't be read: {error.strerror}; a readable file is needed"
-        finding = Finding(source=source, line=1, section="", key="", detail=detail)
+        defect = Defect(
+            problem=f"the file can't be read: {error.strerror}",
+            allowed="a readable file",
+        )
+        finding = Finding(source=source, line=1, section="", key="", defect=defect)
         return Error((finding,))
     return parse_settings(content, source=source)
--- a/foxtailway/settings/page.py
+++ b/foxtailway/settings/page.py
@@ -11,10 +11,10 @@
 
 A node reads one INI file: `foxtailway-node --settings node.ini`. Keys keep their
 case, `=` separates a key from its value, `#` and `;` start comment lines, and
-indented lines continue a value. The file is checked as a whole before the node
-starts; every finding is printed as `FILE:LINE: section.key: what is wrong and
-what is allowed`, and the node then exits with code 1. Unknown and duplicate
-sections and keys are findings.
+indented lines continue a value; a line that starts with `[` is always a header.
+The file is checked as a whole before the node starts; every finding is printed as
+`FILE:LINE: section.key: what is wrong; allowed: what is allowed`, and the node then
+exits with code 2. Unknown and duplicate sections and keys are findings.
 
 Durations are written with their unit (`500ms`, `2s`, `5min`, `1h`), sizes too
 (`4000B`, `16KB`, `2MB`; 1 KB is 1,000 bytes). `examples/node.ini` shows every key.
@@ -67,9 +67,9 @@
     cells = [
         f"`{spec.key}`",
         spec.summary,
-        spec.value.unit,
+        spec.unit,
         default,
-        spec.value.describe(),
+        spec.kind.allowed,
     ]
     return f"| {' | '.join(cells)} |"
 
--- a/foxtailway/settings/schema.py
+++ b/foxtailway/settings/schema.py
@@ -1,5 +1,6 @@
 """Sections and keys of the settings file."""
 
+from foxtailway.config.value_kind import NameKind
 from foxtailway.settings.model import (
     CallSettings,
     DistributionSettings,
@@ -8,28 +9,30 @@
     PlatformSettings,
     UpstreamSettings,
 )
-from foxtailway.settings.spec import SectionSpec, define, define_duration
+from foxtailway.settings.spec import (
+    SectionSpec,
+    define,
+    define_duration,
+    define_number,
+    define_size,
+)
 from foxtailway.settings.values import (
-    LARGEST_PORT,
-    SMALLEST_PORT,
-    AddressValue,
-    ChoiceValue,
-    DurationValue,
-    IntegerValue,
-    NameValue,
-    SeedsValue,
-    SizeValue,
-    UrlValue,
+    AddressKind,
+    ChoiceKind,
+    PortKind,
+    SeedsKind,
+    UrlKind,
 )
 
 __all__ = ["SECTIONS"]
 
-NAME = NameValue()
-ADDRESS = AddressValue()
-PORT = IntegerValue(smallest=SMALLEST_PORT, largest=LARGEST_PORT)
-TIMEOUT = DurationValue(smallest_s=0.01, largest_s=60.0)
-INTERVAL = DurationValue(smallest_s=0.01, largest_s=600.0)
+NAME = NameKind()
+ADDRESS = AddressKind()
+PORT = PortKind()
+TIMEOUT_RANGE = ("10ms", "1min")
+INTERVAL_RANGE = ("10ms", "10min")
 LOG_LEVELS = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR", "CRITICAL")
+
 HOST_SECTION = SectionSpec(
     name="host",
     summary="Identity of the host.",
@@ -61,7 +64,9 @@
         define("service", NAME, None, "Service to which the upstream belongs."),
         define("address", ADDRESS, "127.0.0.1", "Address of the upstream."),
         define("port", PORT, None, "HTTP port of the upstream."),
-        define_duration("connect_timeout", TIMEOUT, "1s", "Longest time to connect."),
+        define_duration(
+            "connect_timeout", "1s", *TIMEOUT_RANGE, "Longest time to connect."
+        ),
     ),
 )
 PLATFORM_SECTION = SectionSpec(
@@ -69,17 +74,19 @@
     summary="The platform's configuration service.",
     model=PlatformSettings,
     keys=(
-        define("url", UrlValue(), None, "Base URL of the service."),
+        define("url", UrlKind(), None, "Base URL of the service."),
         define("store_region", NAME, None, "Region in which the service runs."),
-        define_duration("watch", INTERVAL, "20s", "Longest wait of one watch."),
+        define_duration("watch", "20s", *INTERVAL_RANGE, "Longest wait of one watch."),
         define_duration(
-            "timeout", TIMEOUT, "5s", "Time after which a call has failed."
+            "timeout", "5s", *TIMEOUT_RANGE, "Time after which a call has failed."
         ),
-        define(
+        define_number(
             "calls_per_s",
-            IntegerValue(smallest=1, largest=2_000, unit="calls per second"),
             "200",
+            "1",
+            "2000",
             "Budget of calls shared by all nodes that fall back to the platform.",
+            unit="calls per second",
         ),
     ),
 )
@@ -88,71 +95,78 @@
     summary="Exchange of versions between nodes.",
     model=DistributionSettings,
     keys=(
-        define("seeds", SeedsValue(), "", "Nodes asked before a host list is known."),
-        define(
-            "fan_out",
-            IntegerValue(smallest=1, largest=256),
-            "16",
-            "Children that a node feeds at a time.",
+        define("seeds", SeedsKind(), "", "Nodes asked before a host list is known."),
+        define_number(
+            "fan_out", "16", "1", "256", "Children that a node feeds at a time."
         ),
-        define(
+        define_number(
             "n_readers",
-            IntegerValue(smallest=1, largest=16),
             "2",
+            "1",
+            "16",
             "Nodes of the store's region that watch the platform.",
         ),
-        define(
+        define_number(
             "n_gateways",
-            IntegerValue(smallest=1, largest=16),
             "2",
+            "1",
+            "16",
             "Nodes of every other region that are fed over the link.",
         ),
-        define(
+        define_number(
             "n_heads",
-            IntegerValue(smallest=1, largest=16),
             "2",
+            "1",
+            "16",
             "Nodes of every availability zone that are fed from outside it.",
         ),
-        define_duration("heartbeat", INTERVAL, "4s", "Interval of heartbeats."),
+        define_duration("heartbeat", "4s", *INTERVAL_RANGE, "Interval of heartbeats."),
         define_duration(
             "silence",
-            INTERVAL,
             "10s",
+            *INTERVAL_RANGE,
             "Silence after which a peer is left; at least two heartbeats.",
         ),
         define_duration(
             "stale",
-            INTERVAL,
             "30s",
+            *INTERVAL_RANGE,
             "Age of the platform's confirmation above which a parent is"
             " compared with others.",
         ),
         define_duration(
             "bootstrap_timeout",
-            TIMEOUT,
             "3s",
+            *TIMEOUT_RANGE,
             "Time for which a node without a version asks its peers.",
         ),
-        define(
+        define_number(
             "n_bootstrap_peers",
-            IntegerValue(smallest=1, largest=16),
             "3",
+            "1",
+            "16",
             "Peers that a node without a version asks.",
         ),
-        define_duration("retry_base", INTERVAL, "200ms", "First interval of retries."),
+        define_duration(
+            "retry_base", "200ms", *INTERVAL_RANGE, "First interval of retries."
+        ),
         define_duration(
             "retry_max",
-            INTERVAL,
             "20s",
+            *INTERVAL_RANGE,
             "Largest interval of retries; at least the first one.",
         ),
         define_duration(
-            "connect_timeout", TIMEOUT, "2s", "Longest time to connect to a peer."
+            "connect_timeout",
+            "2s",
+            *TIMEOUT_RANGE,
+            "Longest time to connect to a peer.",
         ),
         define_duration(
             "hosts_coalesce",
-            DurationValue(smallest_s=0.0, largest_s=60.0),
             "1s",
+            "0s",
+            "1min",
             "Time over which a reader collects changes of the host list.",
         ),
     ),
@@ -163,31 +177,36 @@
     model=CallSettings,
     keys=(
         define_duration(
-            "connect_timeout", TIMEOUT, "1s", "Longest time to connect to a node."
+            "connect_timeout",
+            "1s",
+            *TIMEOUT_RANGE,
+            "Longest time to connect to a node.",
         ),
-        define_duration("heartbeat", INTERVAL, "1s", "Interval of heartbeats."),
+        define_duration("heartbeat", "1s", *INTERVAL_RANGE, "Interval of heartbeats."),
         define_duration(
             "silence",
-            INTERVAL,
             "3s",
+            *INTERVAL_RANGE,
             "Silence after which a stream is left; at least two heartbeats.",
         ),
         define_duration(
             "stop_timeout",
-            INTERVAL,
             "10s",
+            *INTERVAL_RANGE,
             "Longest time that a graceful shutdown waits for calls.",
         ),
-        define(
+        define_number(
             "max_in_flight",
-            IntegerValue(smallest=1, largest=100_000),
             "1000",
+            "1",
+            "100000",
             "Calls that the node carries at a time.",
         ),
-        define(
+        define_size(
             "max_message_size",
-            SizeValue(smallest=4_000, largest=64_000_000),
             "2MB",
+            "4KB",
+            "64MB",
             "Largest message between nodes.",
         ),
     ),
@@ -199,15 +218,12 @@
     keys=(
         define(
             "log_level",
-            ChoiceValue(choices=LOG_LEVELS),
+            ChoiceKind(words=LOG_LEVELS),
             "INFO",
             "Least severe level that is logged.",
         ),
-        define(
-            "audit_size",
-            IntegerValue(smallest=1, largest=100_000),
-            "1000",
-            "Entries kept in the audit trail.",
+        define_number(
+            "audit_size", "1000", "1", "100000", "Entries kept in the audit trail."
         ),
     ),
 )
--- a/foxtailway/settings/values.py
+++ b/foxtailway/settings/values.py
@@ -1,205 +1,117 @@
-"""Kinds of values that settings may have."""
+"""Kinds of values that only settings have."""
 
 import re
-from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from ipaddress import ip_address
-from typing import Any
 from urllib.parse import urlsplit
 
-from foxtailway.common.quantity import (
-    format_duration,
-    format_size,
-    parse_duration,
-    parse_size,
-)
+from expression import Ok, Result
+
+from foxtailway.config.finding import Defect
+from foxtailway.config.value_kind import NumberKind, ValueKind, quote
 from foxtailway.settings.model import SeedAddress
 
-__all__ = [
-    "AddressValue",
-    "ChoiceValue",
-    "DurationValue",
-    "IntegerValue",
-    "NameValue",
-    "SeedsValue",
-    "SettingValue",
-    "SizeValue",
-    "UrlValue",
-]
-
-SMALLEST_PORT = 1
-LARGEST_PORT = 65_535
+__all__ = ["AddressKind", "ChoiceKind", "PortKind", "SeedsKind", "UrlKind"]
+
 MAX_SEEDS = 64
-MAX_INTEGER_DIGITS = 9
-NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 SEED_PATTERN = re.compile(r"\[?([0-9A-Fa-f.:]+?)\]?:([0-9]{1,5})")
 
 
-class SettingValue(ABC):
-    """Check the text of one setting."""
-
-    unit: str
-
-    @abstractmethod
-    def parse(self, text: str) -> Any | None:
-        """Return the value, or None when `text` is not allowed."""
-
-    @abstractmethod
-    def describe(self) -> str:
-        """Return what is allowed."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class DurationValue(SettingValue):
-    """Duration with its unit, within bounds in seconds."""
-
-    smallest_s: float
-    largest_s: float
-    unit: str = "ms, s, min or h"
-
-    def parse(self, text: str) -> float | None:
-        """Return the duration in seconds."""
-        duration_s = parse_duration(text)
-        if duration_s is None or not self.smallest_s <= duration_s <= self.largest_s:
-            return None
-        return duration_s
-
-    def describe(self) -> str:
-        """Return the bounds."""
-        smallest = format_duration(self.smallest_s)
-        return f"{smallest} to {format_duration(self.largest_s)}"
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class SizeValue(SettingValue):
-    """Size with its unit, within bounds in bytes."""
-
-    smallest: int
-    largest: int
-    unit: str = "B, KB or MB"
-
-    def parse(self, text: str) -> int | None:
-        """Return the size in bytes."""
-        size = parse_size(text)
-        if size is None or not self.smallest <= size <= self.largest:
-            return None
-        return size
-
-    def describe(self) -> str:
-        """Return the bounds."""
-        return f"{format_size(self.smallest)} to {format_size(self.largest)}"
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class IntegerValue(SettingValue):
-    """Whole number within bounds."""
-
-    smallest: int
-    largest: int
-    unit: str = "none"
+class PortKind(NumberKind):
+    """Accept a TCP port."""
 
-    def parse(self, text: str) -> int | None:
-        """Return the number."""
-        if not (text.isascii() and text.isdigit()) or len(text) > MAX_INTEGER_DIGITS:
-            return None
-        number = int(text)
-        return number if self.smallest <= number <= self.largest else None
-
-    def describe(self) -> str:
-        """Return the bounds."""
-        return f"whole number, {self.smallest} to {self.largest}"
+    def __init__(self) -> None:
+        super().__init__(lowest="1", highest="65535")
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class NameValue(SettingValue):
-    """Identifier."""
-
-    unit: str = "none"
+class ChoiceKind(ValueKind):
+    """Accept one of several words.
 
-    def parse(self, text: str) -> str | None:
-        """Return the identifier."""
-        return text if NAME_PATTERN.fullmatch(text) else None
+    Parameters
+    ----------
+    words : tuple of str
+        Accepted words.
+    """
 
-    def describe(self) -> str:
-        """Return the allowed characters."""
-        return "1 to 63 letters, digits, '.', '_' and '-', a letter or digit first"
+    words: tuple[str, ...]
 
+    @property
+    def allowed(self) -> str:
+        """Return the accepted words."""
+        return ", ".join(self.words)
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ChoiceValue(SettingValue):
-    """One of several words."""
-
-    choices: tuple[str, ...]
-    unit: str = "none"
-
-    def parse(self, text: str) -> str | None:
+    def parse(self, text: str) -> Result[str, Defect]:
         """Return the word."""
-        return text if text in self.choices else None
-
-    def describe(self) -> str:
-        """Return the words."""
-        return ", ".join(self.choices)
+        if text in self.words:
+            return Ok(text)
+        return self.reject(f"{quote(text)} is none of the words")
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class AddressValue(SettingValue):
-    """IP address of one host."""
+class AddressKind(ValueKind):
+    """Accept the IP address of one host."""
 
-    unit: str = "none"
+    @property
+    def allowed(self) -> str:
+        """Return the description of accepted addresses."""
+        return "the IP address of one host, for example 10.1.2.3"
 
-    def parse(self, text: str) -> str | None:
+    def parse(self, text: str) -> Result[str, Defect]:
         """Return the address."""
         try:
             address = ip_address(text)
         except ValueError:
-            return None
+            return self.reject(f"{quote(text)} is not an IP address")
         if address.is_unspecified or address.is_multicast:
-            return None
-        return text
-
-    def describe(self) -> str:
-        """Return the allowed form."""
-        return "IP address of one host, for example 10.1.2.3"
+            return self.reject(f"{text} is not the address of one host")
+        return Ok(text)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class UrlValue(SettingValue):
-    """Base URL without credentials, query and fragment."""
+class UrlKind(ValueKind):
+    """Accept a base URL without credentials, query and fragment."""
 
-    unit: str = "none"
+    @property
+    def allowed(self) -> str:
+        """Return the description of accepted URLs."""
+        return "an http or https URL without credentials, query and fragment"
 
-    def parse(self, text: str) -> str | None:
-        """Return the URL."""
+    def parse(self, text: str) -> Result[str, Defect]:
+        """Return the URL; a refused one is not quoted, it may hold a password."""
         try:
             parts = urlsplit(text)
-            is_port_valid = parts.port is None or parts.port >= SMALLEST_PORT
+            is_port_valid = parts.port != 0
         except ValueError:
-            return None
+            return self.reject("the value is not a URL")
         if parts.scheme not in ("http", "https") or not parts.hostname:
-            return None
-        if not is_port_valid or "@" in parts.netloc or parts.query or parts.fragment:
-            return None
-        return text if text.isascii() and text.isprintable() else None
-
-    def describe(self) -> str:
-        """Return the allowed form."""
-        return "http or https URL without credentials, query and fragment"
+            return self.reject("the value is not a URL of HTTP")
+        has_more = "@" in parts.netloc or parts.query or parts.fragment
+        if not is_port_valid or has_more or not text.isascii():
+            return self.reject("the URL has more than scheme, host, port and path")
+        return Ok(text)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class SeedsValue(SettingValue):
-    """Mesh addresses, separated by blanks or lines."""
+class SeedsKind(ValueKind):
+    """Accept mesh addresses, separated by blanks or lines."""
 
-    unit: str = "none"
+    @property
+    def allowed(self) -> str:
+        """Return the description of accepted addresses."""
+        return f"up to {MAX_SEEDS} of ADDRESS:PORT between blanks or line breaks"
 
-    def parse(self, text: str) -> tuple[SeedAddress, ...] | None:
+    def parse(self, text: str) -> Result[tuple[SeedAddress, ...], Defect]:
         """Return the addresses."""
-        seeds = tuple(parse_seed(item) for item in text.split())
-        return None if None in seeds or len(seeds) > MAX_SEEDS else seeds
-
-    def describe(self) -> str:
-        """Return the allowed form."""
-        return f"up to {MAX_SEEDS} of ADDRESS:PORT, separated by blanks or lines"
+        seeds = []
+        for word in text.split():
+            seed = parse_seed(word)
+            if seed is None:
+                return self.reject(f"{quote(word)} is not ADDRESS:PORT")
+            seeds.append(seed)
+        if len(seeds) > MAX_SEEDS:
+            return self.reject(f"there are {len(seeds)} addresses")
+        return Ok(tuple(seeds))
 
 
 def parse_seed(text: str) -> SeedAddress | None:
@@ -207,8 +119,8 @@
     match = SEED_PATTERN.fullmatch(text)
     if match is None:
         return None
-    address = AddressValue().parse(match[1])
-    port = IntegerValue(smallest=SMALLEST_PORT, largest=LARGEST_PORT).parse(match[2])
-    if address is None or port is None:
+    address = AddressKind().parse(match[1])
+    port = PortKind().parse(match[2])
+    if address.is_error() or port.is_error():
         return None
-    return SeedAddress(address=address, port=port)
+    return SeedAddress(address=address.ok, port=port.ok)
