Finish calls in flight on a planned stop

Cause: reading the stop path showed three cuts: the last answer could be lost in the write buffer when connections were closed, the own upstream's calls were refused while its last requests ran, and a host that could not be reached was not retried elsewhere, since its reason was not one of the retried ones. Change: answers are awaited until written and carry Connection: close while stopping, local calls are carried until the upstream is idle, an unreachable host counts as lost without a run.

--- a/foxtailway/node/daemon.py
+++ b/foxtailway/node/daemon.py
@@ -220,14 +220,18 @@
         self.responder.set_leaving(is_leaving)
 
     async def stop(self) -> None:
-        """Stop gracefully: take no new work, finish what runs, then close."""
+        """Stop gracefully: take no new work, finish what runs, then close.
+
+        Calls that the own upstream makes are carried until its last request
+        has ended.
+        """
         self.dispatcher.is_stopping = True
+        for ingress in self.ingresses:
+            ingress.is_stopping = True
         timeout_s = self.settings.calls.stop_timeout_s
         await asyncio.gather(
             self.responder.drain(timeout_s), self.dispatcher.drain(timeout_s)
         )
-        for ingress in self.ingresses:
-            ingress.stop()
         await self.exit_stack.aclose()
 
 
--- a/foxtailway/proxy/dispatcher.py
+++ b/foxtailway/proxy/dispatcher.py
@@ -25,6 +25,15 @@
 
 __all__ = ["CallDispatcher"]
 
+OBSERVATIONS = {
+    RefusalReason.OVERLOADED: ObservationKind.REFUSED_OVERLOAD,
+    RefusalReason.DRAINING: ObservationKind.REFUSED_DRAINING,
+    RefusalReason.LOST: ObservationKind.LOST,
+    RefusalReason.EXPIRED: ObservationKind.TIMED_OUT,
+    RefusalReason.NOT_READY: ObservationKind.FAILED,
+    RefusalReason.NO_ENDPOINT: ObservationKind.FAILED,
+}
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlannedCall:
@@ -110,7 +119,7 @@
     def plan(self, call: InboundCall, now: float) -> Result[PlannedCall, Refusal]:
         """Check a call and turn it into a request."""
         snapshot = self.state.snapshot
-        if self.is_stopping:
+        if self.is_stopping and not call.is_local:
             return self.refuse(RefusalReason.DRAINING, retry_after_s=1.0)
         if snapshot is None:
             return self.refuse(RefusalReason.NOT_READY, retry_after_s=1.0)
@@ -245,7 +254,7 @@
             )
         if refusal.reason is RefusalReason.DRAINING:
             self.state.balancer.mark_draining(host.host_id, now)
-        if refusal.reason is RefusalReason.LOST:
+        if refusal.is_lost:
             self.containment.record_loss(
                 request.fingerprint,
                 host.host_id,
@@ -283,7 +292,7 @@
         return Error(
             Refusal(
                 outcome=Outcome.UNKNOWN if is_home else Outcome.NOT_RUN,
-                reason=RefusalReason.NO_ENDPOINT,
+                reason=RefusalReason.LOST,
                 retry_after_s=1.0,
                 host_id=host.host_id,
             )
@@ -336,13 +345,7 @@
     """Return what a result tells about its host."""
     if result.is_ok():
         return ObservationKind.SUCCESS
-    match result.error.reason:
-        case RefusalReason.OVERLOADED:
-            return ObservationKind.REFUSED_OVERLOAD
-        case RefusalReason.DRAINING:
-            return ObservationKind.REFUSED_DRAINING
-        case RefusalReason.LOST:
-            return ObservationKind.LOST
-        case RefusalReason.EXPIRED:
-            return ObservationKind.TIMED_OUT
-    return ObservationKind.FAILED
+    refusal = result.error
+    if refusal.reason is RefusalReason.EXPIRED and refusal.outcome is Outcome.NOT_RUN:
+        return ObservationKind.CANCELLED
+    return OBSERVATIONS.get(refusal.reason, ObservationKind.CANCELLED)
--- a/foxtailway/proxy/ingress.py
+++ b/foxtailway/proxy/ingress.py
@@ -3,10 +3,17 @@
 import asyncio
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
+from http.client import responses
 
 from expression import Result
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPOutputError,
+    HTTPServerRequest,
+    ResponseStartLine,
+)
+from tornado.iostream import StreamClosedError
 
 from foxtailway.proxy.header import (
     DEADLINE_HEADER,
@@ -26,6 +33,7 @@
 MAX_KEY_LENGTH = 200
 BODY_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 75.0
+CLOSE_TIMEOUT_S = 1.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -50,6 +58,8 @@
         Time left as told by the caller, in seconds; None when not told.
     idempotency_key : str
         Key sent by the caller; empty when none was sent.
+    is_local : bool
+        Whether the host's own upstream makes the call.
     """
 
     method: str
@@ -62,6 +72,7 @@
     n_hops: int
     remaining_s: float | None
     idempotency_key: str
+    is_local: bool
 
 
 class CallHandler(ABC):
@@ -100,6 +111,7 @@
         self.handler = handler
         self.is_trusted = is_trusted
         self.service = service
+        self.is_stopping = False
         self.tasks: set[asyncio.Task] = set()
         self.server = HTTPServer(
             self.accept,
@@ -114,12 +126,12 @@
         """Start to accept connections."""
         self.server.listen(port, address)
 
-    def stop(self) -> None:
-        """Accept no further connections."""
-        self.server.stop()
-
     async def close(self) -> None:
-        """Close all connections."""
+        """Accept no connections, finish what is in flight and close the rest."""
+        self.is_stopping = True
+        self.server.stop()
+        if self.tasks:
+            await asyncio.wait(list(self.tasks), timeout=CLOSE_TIMEOUT_S)
         await self.server.close_all_connections()
 
     def accept(self, request: HTTPServerRequest) -> None:
@@ -133,10 +145,13 @@
         """Carry one request and write its answer."""
         call = read_call(request, is_trusted=self.is_trusted, service=self.service)
         result = await self.handler.handle(call)
-        if result.is_ok():
-            write_answer(request, result.ok)
-        else:
-            write_refusal(request, result.error)
+        try:
+            if result.is_ok():
+                await write_answer(request, result.ok, is_last=self.is_stopping)
+            else:
+                await write_refusal(request, result.error, is_last=self.is_stopping)
+        except (StreamClosedError, HTTPOutputError):
+            return
 
 
 def read_call(
@@ -162,38 +177,51 @@
         n_hops=n_hops or 0,
         remaining_s=None if remaining_ms is None else remaining_ms / 1000,
         idempotency_key=headers.get(IDEMPOTENCY_HEADER, "")[:MAX_KEY_LENGTH],
+        is_local=is_trusted,
     )
 
 
-def write_answer(request: HTTPServerRequest, answer: CallResponse) -> None:
+async def write_answer(
+    request: HTTPServerRequest, answer: CallResponse, *, is_last: bool
+) -> None:
     """Write the whole answer of an upstream."""
     headers = [*answer.headers, *outcome_headers(outcome=Outcome.RAN)]
-    write_response(request, answer.status, headers, answer.body)
+    await write_response(request, answer.status, headers, answer.body, is_last)
 
 
-def write_refusal(request: HTTPServerRequest, refusal: Refusal) -> None:
+async def write_refusal(
+    request: HTTPServerRequest, refusal: Refusal, *, is_last: bool
+) -> None:
     """Write a refusal and what became of the request."""
     headers = [
         Header(name="Content-Type", value="text/plain; charset=utf-8"),
         *outcome_headers(outcome=refusal.outcome, refusal=refusal),
     ]
-    text = f"{refusal.outcome.value}: {refusal.reason.value}\n"
-    write_response(request, status_of_refusal(refusal), headers, text.encode())
+    body = f"{refusal.outcome.value}: {refusal.reason.value}\n".encode()
+    await write_response(request, status_of_refusal(refusal), headers, body, is_last)
 
 
-def write_response(
-    request: HTTPServerRequest, status: int, headers: list[Header], body: bytes
+async def write_response(
+    request: HTTPServerRequest,
+    status: int,
+    headers: list[Header],
+    body: bytes,
+    is_last: bool,
 ) -> None:
-    """Write a response with its length and finish the request."""
+    """Write a response with its length and wait until it left the process."""
     response_headers = HTTPHeaders()
     for header in headers:
         response_headers.add(header.name, header.value)
+    if is_last:
+        response_headers["Connection"] = "close"
     may_have_body = status >= 200 and status not in (204, 304)
     if may_have_body:
         response_headers["Content-Length"] = str(len(body))
-    start_line = ResponseStartLine("HTTP/1.1", status, "")
-    is_head = request.method == "HEAD"
+    start_line = ResponseStartLine("HTTP/1.1", status, responses.get(status, ""))
+    has_body = may_have_body and request.method != "HEAD"
     connection = request.connection
-    chunk = body if may_have_body and not is_head else None
-    connection.write_headers(start_line, response_headers, chunk=chunk)
+    written = connection.write_headers(
+        start_line, response_headers, chunk=body if has_body else None
+    )
     connection.finish()
+    await written
--- a/foxtailway/proxy/runner.py
+++ b/foxtailway/proxy/runner.py
@@ -173,7 +173,7 @@
         if snapshot is None:
             return RefusalReason.NOT_READY
         if request.cluster != self.settings.upstream.service:
-            return RefusalReason.NO_ENDPOINT
+            return RefusalReason.NOT_READY
         if request.cluster not in snapshot.clusters:
             return RefusalReason.NOT_READY
         if request.n_hops > snapshot.listener.max_hops:
@@ -232,7 +232,7 @@
             self.containment.record_success(request.fingerprint, now)
             return
         cluster = self.state.find_cluster(request.cluster)
-        if result.error.reason is not RefusalReason.LOST or cluster is None:
+        if not result.error.is_lost or cluster is None:
             return
         is_quarantined = self.containment.record_loss(
             request.fingerprint,
--- a/foxtailway/proxy/upstream.py
+++ b/foxtailway/proxy/upstream.py
@@ -153,7 +153,7 @@
             return self.refuse(Outcome.UNKNOWN, RefusalReason.TOO_LARGE)
         errno = error.errno if isinstance(error, CurlError) else None
         if errno in NOT_SENT_ERRORS:
-            return self.refuse(Outcome.NOT_RUN, RefusalReason.NO_ENDPOINT)
+            return self.refuse(Outcome.NOT_RUN, RefusalReason.LOST)
         if errno == pycurl.E_ABORTED_BY_CALLBACK:
             return self.refuse(Outcome.UNKNOWN, RefusalReason.CANCELLED)
         if errno == pycurl.E_OPERATION_TIMEDOUT:
--- a/foxtailway/routing/outcome.py
+++ b/foxtailway/routing/outcome.py
@@ -53,3 +53,9 @@
     reason: RefusalReason
     retry_after_s: float
     host_id: str
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the request may have run when its answer was lost."""
+        is_unknown = self.outcome is Outcome.UNKNOWN
+        return is_unknown and self.reason is RefusalReason.LOST
--- a/foxtailway/testing/fleet.py
+++ b/foxtailway/testing/fleet.py
@@ -205,6 +205,9 @@
         """Wait until platform and link answer."""
 
         async def is_up() -> bool:
+            names = (PLATFORM_NAME, LINK_NAME)
+            if not all(self.processes.is_running(name) for name in names):
+                raise RuntimeError("platform or link has ended; are ports in use?")
             platform = await self.count_platform_calls()
             link = await self.count_link_bytes()
             return platform is not None and link is not None
