Tell the collector which version the node holds

Cause: a deletion published while both readers were down was never in force: a restarted reader lists no deletions, named the newer state 1.6 after its newest key, and its peers kept 1.12. A run of five nodes waited 12 s for it in vain. Ruled out: a fault of the exchange, which refuses older names as it must. Change: the node gives the collector the version in force; a set that replaces it is named above it.

--- a/foxtailway/node/main.py
+++ b/foxtailway/node/main.py
@@ -53,7 +53,10 @@
         logger=Logger("node"),
     )
     collector = SourceBundleCollector(
-        reader=reader, clock=clock, read_generation=read_generation
+        reader=reader,
+        clock=clock,
+        read_generation=read_generation,
+        held_version=observer.find_version,
     )
     daemon = NodeDaemon(
         settings=settings,
--- a/foxtailway/node/observer.py
+++ b/foxtailway/node/observer.py
@@ -6,6 +6,7 @@
 from foxtailway.common.failure import Failure, FailureKind
 from foxtailway.distribution.observer import DistributionObserver
 from foxtailway.model.bundle import Bundle, BundleKind
+from foxtailway.model.version import Version
 from foxtailway.observe.audit import AuditAction, AuditTrail
 from foxtailway.observe.log import log_failure
 from foxtailway.observe.metrics import NodeMetrics
@@ -48,6 +49,11 @@
         self.n_quarantined = 0
         self.n_failed_streams = 0
 
+    def find_version(self, kind: BundleKind) -> Version | None:
+        """Return the version in force of a kind."""
+        bundle = self.applied.get(kind)
+        return bundle.version if bundle is not None else None
+
     def on_applied(self, bundle: Bundle, *, delivered_by: str) -> None:
         """Note that the sink applied a bundle."""
         previous = self.applied.get(bundle.kind)
--- a/foxtailway/node/status.py
+++ b/foxtailway/node/status.py
@@ -2,7 +2,6 @@
 
 from foxtailway.distribution.agent import DistributionAgent
 from foxtailway.model.bundle import BundleKind
-from foxtailway.model.version import Version
 from foxtailway.node.observer import NodeObserver
 from foxtailway.observe.status import NodeStatus, StatusProvider
 from foxtailway.proxy.dispatcher import CallDispatcher
@@ -56,8 +55,8 @@
             host_id=self.host.host_id,
             zone=self.host.zone,
             region=self.host.region,
-            config_version=self.find_version(BundleKind.CONFIG),
-            hosts_version=self.find_version(BundleKind.HOSTS),
+            config_version=self.observer.find_version(BundleKind.CONFIG),
+            hosts_version=self.observer.find_version(BundleKind.HOSTS),
             role=role,
             parent=status.parent_host_id,
             n_children=status.n_children,
@@ -79,8 +78,3 @@
                 "failed_streams": self.observer.n_failed_streams,
             },
         )
-
-    def find_version(self, kind: BundleKind) -> Version | None:
-        """Return the version in force of a kind."""
-        bundle = self.observer.applied.get(kind)
-        return bundle.version if bundle is not None else None
