Name a set without listed deletions by the store's revision

Cause: a reader that starts anew named its first set after the newest listed key, although a deletion may have come later. In a run of five nodes with both readers killed, a deletion published meanwhile and the readers started again, a reader applied 1.6, moved to its peers' older content 1.12 and came back to it as 1.13 two seconds later. Ruled out: waiting for the peers, which the readers that are asked first may not know either. Change: a set from a complete listing is named by the revision of that listing, the last true name, unless the node holds an equal set. Sets followed change by change keep the name of their newest change, so unrelated writes still make no version; a reader that starts where nobody holds a version makes one.

--- a/foxtailway/source/bundle_collector.py
+++ b/foxtailway/source/bundle_collector.py
@@ -214,7 +214,8 @@
     def build(self, kind: BundleKind, kept: DocumentSet) -> Bundle:
         """Keep a set under its true name and return its bundle."""
         bundle = self.namer.build(kind, kept)
-        self.sets[kind] = replace(kept, revision=bundle.version.revision)
+        revision = bundle.version.revision
+        self.sets[kind] = replace(kept, revision=revision, is_named=True)
         return bundle
 
     def doubt(self, kind: BundleKind) -> None:
--- a/foxtailway/source/bundle_namer.py
+++ b/foxtailway/source/bundle_namer.py
@@ -79,7 +79,7 @@
             documents=documents,
         )
         revision = choose_revision(
-            collected=bundle.version, since=kept.since, held=self.find_held(kind)
+            kept, collected=bundle.version, held=self.find_held(kind)
         )
         if revision == kept.revision:
             return bundle
--- a/foxtailway/source/document_set.py
+++ b/foxtailway/source/document_set.py
@@ -44,16 +44,20 @@
         Revision of the store up to which every change is included.
     revision : int
         Revision that names the set, at most `since`.
+    is_named : bool
+        False while `revision` is only that of the newest listed key, since
+        deletions after it may not be listed.
     documents : Mapping of str to HeldDocument
         Documents by key.
     """
 
     since: int
     revision: int
+    is_named: bool
     documents: Mapping[str, HeldDocument]
 
 
-EMPTY_SET = DocumentSet(since=0, revision=0, documents={})
+EMPTY_SET = DocumentSet(since=0, revision=0, is_named=False, documents={})
 
 
 def is_member(key: str, kind: BundleKind) -> bool:
@@ -120,33 +124,43 @@
             documents.pop(change.key, None)
     documents.update((item.document.key, item) for item in read)
     newest = max((change.revision for change in changes.changes), default=0)
-    return DocumentSet(since=changes.revision, revision=newest, documents=documents)
+    return DocumentSet(
+        since=changes.revision,
+        revision=newest,
+        is_named=not changes.is_complete,
+        documents=documents,
+    )
 
 
-def choose_revision(*, collected: Version, since: int, held: Version | None) -> int:
+def choose_revision(
+    kept: DocumentSet, *, collected: Version, held: Version | None
+) -> int:
     """Return the revision that names a collected set.
 
     A complete listing leaves deletions out, so the newest written key may be
     older than the last change. Every revision from the last change up to
-    `since` names the set truly.
+    `kept.since` names the set truly; the last of them is newer than all
+    names of earlier sets.
 
     Parameters
     ----------
+    kept : DocumentSet
+        Collected set.
     collected : Version
-        Version named after the newest written key.
-    since : int
-        Revision of the store at which the set was listed.
+        Version of the set under its present revision.
     held : Version or None
         Newest version held by the node.
 
     Returns
     -------
     int
-        The held revision for an equal set; `since` when the set replaces a
-        held one of the same or a higher revision; else that of `collected`.
+        The held revision for an equal set; `kept.since` for a set without a
+        name and for one that replaces a held set of a higher revision; else
+        the present revision.
     """
+    latest = kept.revision if kept.is_named else kept.since
     if held is None or held.generation != collected.generation:
-        return collected.revision
-    if not collected.revision <= held.revision <= since:
-        return collected.revision
-    return held.revision if held.digest == collected.digest else since
+        return latest
+    if not kept.revision <= held.revision <= kept.since:
+        return latest
+    return held.revision if held.digest == collected.digest else kept.since
