Count repeats in the audit trail and measure both sides of a call

Cause: with a stale platform a reader records the same refusal every few seconds, which would push everything else out of a trail of 1,000 entries within hours; requests served for the own upstream and failures were not measured; metrics for control traffic were declared but never set. Ruled out: dropping repeats, which would hide how long a fault lasted; folding applications as well, which would hide a version that comes back. Change: a refusal or rejection that repeats one of the eight newest entries is counted there with the time of the last one; calls carry the side at which they are counted; failures are counted by step and kind; every counter of the status is a metric foxtailway_node_NAME.

--- a/foxtailway/cli/audit.py
+++ b/foxtailway/cli/audit.py
@@ -18,7 +18,17 @@
 
 __all__ = ["AuditCommand"]
 
-COLUMNS = ("SEQUENCE", "TIME", "ACTION", "KIND", "VERSION", "FROM", "CHANGES", "REASON")
+COLUMNS = (
+    "SEQUENCE",
+    "TIME",
+    "TIMES",
+    "ACTION",
+    "KIND",
+    "VERSION",
+    "FROM",
+    "CHANGES",
+    "REASON",
+)
 
 
 class AuditCommand(Command):
@@ -85,6 +95,7 @@
     return (
         str(entry.sequence),
         time.isoformat(timespec="milliseconds"),
+        str(entry.n_times),
         entry.action,
         entry.kind,
         entry.version,
--- a/foxtailway/cli/node_report.py
+++ b/foxtailway/cli/node_report.py
@@ -98,6 +98,7 @@
     changed_keys: tuple[str, ...]
     changed_routes: tuple[str, ...]
     reason: str
+    n_times: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -208,4 +209,5 @@
         changed_keys=tuple(map(str, answer["changed_keys"])),
         changed_routes=tuple(map(str, answer["changed_routes"])),
         reason=str(answer["reason"]),
+        n_times=int(answer["n_times"]),
     )
--- a/foxtailway/node/observer.py
+++ b/foxtailway/node/observer.py
@@ -9,7 +9,7 @@
 from foxtailway.model.version import Version
 from foxtailway.observe.audit import AuditAction, AuditTrail
 from foxtailway.observe.log import log_failure
-from foxtailway.observe.metrics import NodeMetrics
+from foxtailway.observe.metrics import CallSide, NodeMetrics
 from foxtailway.observe.status import Rejection
 from foxtailway.proxy.message import CallResponse
 from foxtailway.proxy.observer import CallObserver
@@ -89,7 +89,7 @@
             reason=reason,
         )
         self.metrics.count_version(kind=bundle.kind, action=AuditAction.REJECTED)
-        log_failure(self.logger, failure, action="version rejected")
+        self.note_failure(failure, action="version rejected")
 
     def on_failure(self, failure: Failure) -> None:
         """Note a failure with a peer or the platform."""
@@ -98,21 +98,13 @@
             self.trail.record(
                 action=action, delivered_by=failure.peer, reason=str(failure)
             )
-        log_failure(self.logger, failure, action="distribution failed")
+        self.note_failure(failure, action="distribution failed")
 
     def call_finished(
         self, result: Result[CallResponse, Refusal], *, latency_s: float
     ) -> None:
         """Note the result of a call that entered the mesh here."""
-        if result.is_ok():
-            self.metrics.count_call(
-                outcome=Outcome.RAN, reason=None, duration_s=latency_s
-            )
-            return
-        refusal = result.error
-        self.metrics.count_call(
-            outcome=refusal.outcome, reason=refusal.reason, duration_s=latency_s
-        )
+        self.count_call(result, side=CallSide.ENTRY, latency_s=latency_s)
 
     def call_retried(self, cluster: str) -> None:
         """Note a further attempt of a call that did not run."""
@@ -122,6 +114,23 @@
         self, result: Result[CallResponse, Refusal], *, latency_s: float
     ) -> None:
         """Note the result of a request for this host's upstream."""
+        self.count_call(result, side=CallSide.UPSTREAM, latency_s=latency_s)
+
+    def count_call(
+        self,
+        result: Result[CallResponse, Refusal],
+        *,
+        side: CallSide,
+        latency_s: float,
+    ) -> None:
+        """Count an answer or a refusal."""
+        refusal = result.error if result.is_error() else None
+        self.metrics.count_call(
+            side=side,
+            outcome=refusal.outcome if refusal is not None else Outcome.RAN,
+            reason=refusal.reason if refusal is not None else None,
+            duration_s=latency_s,
+        )
 
     def request_quarantined(self, route: str, request_fingerprint: str) -> None:
         """Note a request that is refused since upstreams were lost with it."""
@@ -135,7 +144,7 @@
     def peer_refused(self, failure: Failure) -> None:
         """Note a peer that was cut off."""
         self.n_refused_peers += 1
-        log_failure(self.logger, failure, action="peer refused")
+        self.note_failure(failure, action="peer refused")
 
     def peer_is_draining(self, host_id: str) -> None:
         """Note that a host takes no new work."""
@@ -144,7 +153,12 @@
     def stream_failed(self, failure: Failure) -> None:
         """Note that a stream ended with a failure."""
         self.n_failed_streams += 1
-        log_failure(self.logger, failure, action="stream closed")
+        self.note_failure(failure, action="stream closed")
+
+    def note_failure(self, failure: Failure, *, action: str) -> None:
+        """Count and log a failure."""
+        self.metrics.count_failure(failure)
+        log_failure(self.logger, failure, action=action)
 
     def answer_dropped(self, host_id: str) -> None:
         """Note an answer that no call waits for."""
--- a/foxtailway/observe/__init__.py
+++ b/foxtailway/observe/__init__.py
@@ -8,7 +8,7 @@
     make_log_handler,
     make_logging_bridge,
 )
-from foxtailway.observe.metrics import Direction, NodeMetrics, PeerReach, Transfer
+from foxtailway.observe.metrics import CallSide, NodeMetrics
 from foxtailway.observe.status import NodeStatus, Rejection, StatusProvider
 
 __all__ = [
@@ -16,13 +16,11 @@
     "AuditAction",
     "AuditEntry",
     "AuditTrail",
-    "Direction",
+    "CallSide",
     "NodeMetrics",
     "NodeStatus",
-    "PeerReach",
     "Rejection",
     "StatusProvider",
-    "Transfer",
     "encode_json",
     "log_failure",
     "make_log_handler",
--- a/foxtailway/observe/audit.py
+++ b/foxtailway/observe/audit.py
@@ -3,7 +3,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from foxtailway.common.clock import Clock
@@ -13,6 +13,9 @@
 __all__ = ["AuditAction", "AuditEntry", "AuditTrail"]
 
 
+N_COMPARED = 8
+
+
 class AuditAction(Enum):
     """What a node did with a version or with a request."""
 
@@ -51,6 +54,10 @@
         Routes that were added, removed or changed.
     reason : str
         Why the action was taken; never holds a secret.
+    n_times : int
+        Times that the same was done.
+    last_time_s : float
+        Time of the system clock at the last of them, in seconds since 1970.
     """
 
     sequence: int
@@ -64,11 +71,27 @@
     changed_keys: tuple[str, ...]
     changed_routes: tuple[str, ...]
     reason: str
+    n_times: int
+    last_time_s: float
+
+    def is_repeated_by(self, other: "AuditEntry") -> bool:
+        """Tell whether another entry records the same once more."""
+        return other == replace(
+            self,
+            sequence=other.sequence,
+            time_s=other.time_s,
+            monotonic_s=other.monotonic_s,
+            n_times=other.n_times,
+            last_time_s=other.last_time_s,
+        )
 
 
 class AuditTrail:
     """Keep the newest entries.
 
+    A rejection or refusal that repeats one of the newest entries is counted
+    there, so that a lasting fault does not push everything else out.
+
     Parameters
     ----------
     size : int
@@ -107,7 +130,7 @@
         changed_routes: tuple[str, ...] = (),
         reason: str = "",
     ) -> AuditEntry:
-        """Append an entry, dropping the oldest one when the trail is full.
+        """Append an entry or count a repeat; the oldest entry goes when full.
 
         Parameters
         ----------
@@ -127,12 +150,12 @@
         Returns
         -------
         AuditEntry
-            The appended entry.
+            The appended or repeated entry.
         """
-        self.n_recorded += 1
+        time_s = self.read_system_time()
         entry = AuditEntry(
-            sequence=self.n_recorded,
-            time_s=self.read_system_time(),
+            sequence=self.n_recorded + 1,
+            time_s=time_s,
             monotonic_s=self.clock.now(),
             action=action,
             kind=kind,
@@ -142,10 +165,36 @@
             changed_keys=changed_keys,
             changed_routes=changed_routes,
             reason=reason,
+            n_times=1,
+            last_time_s=time_s,
         )
+        return self.count_repeat(entry) or self.append(entry)
+
+    def append(self, entry: AuditEntry) -> AuditEntry:
+        """Append an entry."""
+        self.n_recorded += 1
         self.entries.append(entry)
         return entry
 
+    def count_repeat(self, entry: AuditEntry) -> AuditEntry | None:
+        """Count an entry that repeats one of the newest; None for a new one.
+
+        Each application stands by itself, so that the order of versions in
+        force can be read from the trail.
+        """
+        if entry.action is AuditAction.APPLIED:
+            return None
+        oldest = max(0, len(self.entries) - N_COMPARED)
+        for index in range(len(self.entries) - 1, oldest - 1, -1):
+            earlier = self.entries[index]
+            if earlier.is_repeated_by(entry):
+                repeated = replace(
+                    earlier, n_times=earlier.n_times + 1, last_time_s=entry.time_s
+                )
+                self.entries[index] = repeated
+                return repeated
+        return None
+
     def list_since(self, sequence: int) -> tuple[AuditEntry, ...]:
         """Return the kept entries after `sequence`, oldest first."""
         return tuple(entry for entry in self.entries if entry.sequence > sequence)
--- a/foxtailway/observe/metrics.py
+++ b/foxtailway/observe/metrics.py
@@ -4,39 +4,23 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from foxtailway.common.failure import Failure
 from foxtailway.model.bundle import BundleKind
 from foxtailway.observe.audit import AuditAction
 from foxtailway.observe.status import NodeStatus
 from foxtailway.routing.outcome import Outcome, RefusalReason
 
-__all__ = ["Direction", "NodeMetrics", "PeerReach", "Transfer"]
+__all__ = ["CallSide", "NodeMetrics"]
 
 DURATION_BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.5, 2.5, 10.0)
-SIZE_BUCKETS_BYTES = (100, 1_000, 10_000, 100_000, 1_000_000, 10_000_000)
 INFINITY = float("inf")
 
 
-class Direction(Enum):
-    """Direction of traffic, seen from the node."""
+class CallSide(Enum):
+    """Where a call is counted."""
 
-    SENT = "sent"
-    RECEIVED = "received"
-
-
-class PeerReach(Enum):
-    """What traffic between two nodes crosses."""
-
-    ZONE = "zone"
-    REGION = "region"
-    LINK = "link"
-    PLATFORM = "platform"
-
-
-class Transfer(Enum):
-    """Form in which a version is transferred."""
-
-    DELTA = "delta"
-    WHOLE = "whole"
+    ENTRY = "entry"
+    UPSTREAM = "upstream"
 
 
 class NodeMetrics:
@@ -63,18 +47,11 @@
             "call_duration_seconds", "Duration of calls.", DURATION_BUCKETS_S
         )
         self.retries = self.make(Counter, "retries_total", "Retries of calls.")
-        self.in_flight = self.make(Gauge, "calls_in_flight", "Calls carried now.")
         self.versions = self.make(
             Counter, "versions_total", "Versions applied, rejected and refused."
         )
-        self.control_bytes = self.make(
-            Counter, "control_bytes_total", "Bytes of configuration traffic."
-        )
-        self.platform_calls = self.make(
-            Counter, "platform_calls_total", "Calls to the platform by result."
-        )
-        self.transfer_size = self.make_histogram(
-            "transfer_bytes", "Size of transferred versions.", SIZE_BUCKETS_BYTES
+        self.failures = self.make(
+            Counter, "failures_total", "Failures by step and kind."
         )
         self.confirmed_age = self.make(
             Gauge, "confirmed_age_seconds", "Age of the platform's confirmation."
@@ -87,6 +64,7 @@
         )
         self.revision = self.make(Gauge, "version_revision", "Revision in force.")
         self.generation = self.make(Gauge, "version_generation", "Generation in force.")
+        self.status_counters: dict[str, Gauge] = {}
 
     def make(self, kind: type, name: str, doc: str) -> Counter | Gauge:
         """Return a registered counter or gauge."""
@@ -105,39 +83,43 @@
         )
 
     def count_call(
-        self, *, outcome: Outcome, reason: RefusalReason | None, duration_s: float
+        self,
+        *,
+        side: CallSide,
+        outcome: Outcome,
+        reason: RefusalReason | None,
+        duration_s: float,
     ) -> None:
-        """Count a finished call; `reason` is None for an upstream's answer."""
+        """Count a finished call.
+
+        Parameters
+        ----------
+        side : CallSide
+            Whether the call entered the mesh here or ran beside this node.
+        outcome : Outcome
+            Whether an upstream ran the call.
+        reason : RefusalReason or None
+            Reason of a refusal; None for an upstream's answer.
+        duration_s : float
+            Time from the request to the answer, in seconds.
+        """
         text = reason.value if reason is not None else ""
-        self.calls.inc({"outcome": outcome.value, "reason": text})
-        self.call_duration.add({}, float(duration_s))
+        labels = {"side": side.value}
+        self.calls.inc({**labels, "outcome": outcome.value, "reason": text})
+        self.call_duration.add(labels, float(duration_s))
 
     def count_retry(self) -> None:
         """Count a retry."""
         self.retries.inc({})
 
-    def set_in_flight(self, n_calls: int) -> None:
-        """Set the number of calls carried now."""
-        self.in_flight.set({}, n_calls)
-
     def count_version(self, *, kind: BundleKind, action: AuditAction) -> None:
         """Count what was done with a version."""
         self.versions.inc({"kind": kind.value, "action": action.value})
 
-    def count_control_bytes(
-        self, n_bytes: int, *, direction: Direction, reach: PeerReach
-    ) -> None:
-        """Count configuration traffic."""
-        labels = {"direction": direction.value, "reach": reach.value}
-        self.control_bytes.add(labels, n_bytes)
-
-    def count_platform_call(self, *, result: str) -> None:
-        """Count a call to the platform by ``ok`` or its kind of failure."""
-        self.platform_calls.inc({"result": result})
-
-    def observe_transfer(self, n_bytes: int, *, transfer: Transfer) -> None:
-        """Record the size of a transferred version."""
-        self.transfer_size.add({"transfer": transfer.value}, n_bytes)
+    def count_failure(self, failure: Failure) -> None:
+        """Count a failure with a peer, the platform or a version."""
+        labels = {"step": failure.step.value, "kind": failure.kind.value}
+        self.failures.inc(labels)
 
     def update(self, status: NodeStatus) -> None:
         """Set the gauges that follow from the state of the node."""
@@ -156,6 +138,16 @@
             if version is not None:
                 self.revision.set({"kind": kind.value}, version.revision)
                 self.generation.set({"kind": kind.value}, version.generation)
+        for name, value in status.counters.items():
+            self.find_status_counter(name).set({}, value)
+
+    def find_status_counter(self, name: str) -> Gauge:
+        """Return the metric of a counter that the state of the node tells."""
+        counter = self.status_counters.get(name)
+        if counter is None:
+            counter = self.make(Gauge, f"node_{name}", f"Counter {name} of the node.")
+            self.status_counters[name] = counter
+        return counter
 
     def render(self, accept: str = "") -> tuple[bytes, dict[str, str]]:
         """Return the metrics in a format that the caller accepts."""
