Take no older answer of the platform for a confirmation

Ruled out: comparing names alone, which are equal there. Change: the collector remembers the highest revision listed per kind; an unchanged listing below it is a failure of kind STALE_VERSION. A raised generation starts anew.

--- a/foxtailway/source/bundle_collector.py
+++ b/foxtailway/source/bundle_collector.py
@@ -86,6 +86,7 @@
         )
         self.sets = dict.fromkeys(BundleKind, EMPTY_SET)
         self.unsure = set(BundleKind)
+        self.latest = dict.fromkeys(BundleKind, 0)
 
     async def collect(
         self, kind: BundleKind, *, wait_s: float
@@ -104,7 +105,7 @@
         Result
             The bundle; None when nothing changed; a failure of kind
             ``STALE_VERSION`` when nothing changed and the platform answers
-            from an older version than the known one.
+            from an older state than was known.
         """
         deadline = self.clock.now() + wait_s
         while True:
@@ -118,7 +119,12 @@
             if not is_unchanged(held, listed.ok):
                 return await self.collect_changes(kind, held, listed.ok)
             self.unsure.discard(kind)
-            confirmed = self.confirm(kind, replace(held, since=listed.ok.revision))
+            kept = replace(held, since=listed.ok.revision)
+            if kept.since < self.latest[kind]:
+                self.sets[kind] = kept
+                detail = f"platform answers from the older revision {kept.since}"
+                return Error(fail(FailureKind.STALE_VERSION, detail))
+            confirmed = self.confirm(kind, kept)
             is_late = self.clock.now() + self.pause_s >= deadline
             if is_late or confirmed.is_error() or confirmed.ok is not None:
                 return confirmed
@@ -138,6 +144,7 @@
         if listed.is_error():
             self.doubt(kind)
             return listed
+        self.latest[kind] = max(self.latest[kind], listed.ok.revision)
         return Ok(select_changes(listed.ok, kind))
 
     async def collect_changes(
@@ -230,6 +237,7 @@
         """Drop all documents, since they belong to an earlier generation."""
         self.sets = {kind: replace(EMPTY_SET) for kind in BundleKind}
         self.unsure = set(BundleKind)
+        self.latest = dict.fromkeys(BundleKind, 0)
 
 
 def fail(kind: FailureKind, detail: str) -> Failure:
--- a/foxtailway/source/tests/test_bundle_collector.py
+++ b/foxtailway/source/tests/test_bundle_collector.py
@@ -186,11 +186,21 @@
         self.assertEqual(self.collect_version(), (1, 2))
         self.assertIsNone(self.collect().ok)
 
+    def test_older_answer_with_the_same_set_confirms_nothing(self) -> None:
+        self.store.write("base", b"1:x")
+        self.store.write("unrelated", b"")
+        self.collect()
+        self.reader.at = 1
+        self.assertEqual(self.collect().error.kind, FailureKind.STALE_VERSION)
+        self.assertEqual(self.collect().error.kind, FailureKind.STALE_VERSION)
+        self.reader.at = None
+        self.assertIsNone(self.collect().ok)
+
     def test_raised_generation_reads_everything_anew(self) -> None:
-        for key in KEYS[:4]:
+        for key in KEYS:
             self.store.write(key, b"1:old")
         self.collect()
-        self.assertEqual(self.collect_version(HOSTS), (1, 4))
+        self.assertEqual(self.collect_version(HOSTS), (1, 6))
         self.store.restore(0)
         self.reader.script = [None]
         self.collect()
@@ -203,6 +213,7 @@
         hosts = self.collect(HOSTS).ok
         self.assertEqual(rank(hosts.version), (2, 4))
         self.assertEqual(contents(hosts), {"hosts/a": b"new"})
+        self.assertIsNone(self.collect().ok)
 
     def test_set_dropped_during_a_watch_is_listed_whole(self) -> None:
         self.store.write("base", b"1:x")
