--- a/foxtailway/routing/home.py
+++ b/foxtailway/routing/home.py
@@ -17,7 +17,7 @@
 - it has been up without a restart for the window plus A,
 - its host list was confirmed within A, and so was each list before it, or no
   change was missed between two confirmations that lie further apart,
-- no other host was the key's home within the last 2 A, so that all nodes that
+- it has been the key's home throughout the last 2 A, so that all nodes that
   still act agree on the home, and
 - each host that was the key's home within the window plus A has confirmed that
   it did not run the key, and will not within the window plus A.
@@ -123,7 +123,7 @@
         self.host_id = host_id
         self.started_at = started_at
         self.max_view_age_s = max_view_age_s
-        self.endpoints: tuple[Host, ...] | None = None
+        self.endpoints: tuple[Host, ...] = ()
         self.listed: Mapping[str, Host] = {}
         self.hosts_version: Version | None = None
         self.past_views: deque[PastView] = deque()
@@ -159,8 +159,7 @@
         self.listed = listed
         if endpoints == self.endpoints:
             return
-        if self.endpoints is not None:
-            self.past_views.append(PastView(endpoints=self.endpoints, ended_at=now))
+        self.past_views.append(PastView(endpoints=self.endpoints, ended_at=now))
         if len(self.past_views) > N_VIEWS:
             forgotten = self.past_views.popleft()
             self.blind_at = max(self.blind_at, forgotten.ended_at)
@@ -189,13 +188,14 @@
         """
         age_s = self.max_view_age_s
         horizon = now - window_s - age_s
-        if not self.is_home(key) or now - self.confirmed_at > age_s:
+        if now - self.confirmed_at > age_s:
             return self.refuse(1.0)
         if self.blind_at > horizon:
             return self.refuse(self.blind_at - horizon)
-        if self.list_previous(key, now - 2.0 * age_s):
+        settled_at = now - 2.0 * age_s
+        if self.list_homes(key, settled_at) != {self.host_id}:
             return self.refuse(2.0 * age_s)
-        previous_ids = self.list_previous(key, horizon)
+        previous_ids = self.list_homes(key, horizon) - {self.host_id, None}
         if not previous_ids:
             return HomeDecision(
                 verdict=HomeVerdict.RUN, previous_homes=(), refusal=None
@@ -236,23 +236,11 @@
             return False
         return ledger.surrender(key, kept_s, now)
 
-    def is_home(self, key: str) -> bool:
-        """Whether this host is the key's home in the node's own view."""
-        home = choose_home(key, self.endpoints or ())
-        return home is not None and home.host_id == self.host_id
-
-    def list_previous(self, key: str, since: float) -> set[str]:
-        """Return the other hosts that were the key's home after `since`."""
-        homes = (
-            choose_home(key, view.endpoints)
-            for view in self.past_views
-            if view.ended_at > since
-        )
-        return {
-            home.host_id
-            for home in homes
-            if home is not None and home.host_id != self.host_id
-        }
+    def list_homes(self, key: str, since: float) -> set[str | None]:
+        """Return the key's homes since a time; None stands for no endpoint."""
+        views = [view.endpoints for view in self.past_views if view.ended_at > since]
+        homes = [choose_home(key, endpoints) for endpoints in (*views, self.endpoints)]
+        return {None if home is None else home.host_id for home in homes}
 
     def refuse(self, retry_after_s: float) -> HomeDecision:
         """Return a refusal with an unknown outcome."""
--- a/foxtailway/routing/tests/test_home.py
+++ b/foxtailway/routing/tests/test_home.py
@@ -140,21 +140,38 @@
     def test_stable_home_runs_at_once(self) -> None:
         self.assertIs(Mesh().request("k1", 0), HomeVerdict.RUN)
 
-    def test_new_home_asks_the_previous_one_after_settling(self) -> None:
-        mesh, old, new = self.make_moved_key()
-        self.assertIs(mesh.request("k1", 0), HomeVerdict.REFUSE)
-        for _ in range(3):
+    def wait(self, mesh: Mesh, index: int, n_ages: int) -> None:
+        """Let one node alone keep its view confirmed."""
+        for _ in range(n_ages):
             mesh.now += AGE_S
-            mesh.sync(new)
-        self.assertIs(mesh.request("k1", 0), HomeVerdict.REFUSE)
-        guard = mesh.guards[HOSTS[new].host_id]
+            mesh.sync(index)
+        guard = mesh.guards[HOSTS[index].host_id]
         guard.listed = {host.host_id: host for host in HOSTS}
+
+    def test_new_home_settles_then_asks_the_previous_one(self) -> None:
+        mesh, old, new = self.make_moved_key()
+        self.wait(mesh, new, 1)
+        self.assertIs(mesh.request("k1", 0), HomeVerdict.REFUSE)
+        self.wait(mesh, new, 1)
         self.assertIs(mesh.request("k1", 0), HomeVerdict.ASK_PREVIOUS)
         self.assertEqual(len(mesh.runs["k1"]), 1)
-        mesh.sync(old)
+        mesh.guards[HOSTS[old].host_id].confirm(mesh.now)
         self.assertIsNone(mesh.request("k1", 1))
         self.assertEqual(len(mesh.runs["k1"]), 1)
 
+    def test_unlisted_previous_home_means_refusal(self) -> None:
+        mesh, _, new = self.make_moved_key()
+        self.wait(mesh, new, 3)
+        mesh.sync(new)
+        self.assertIs(mesh.request("k1", 0), HomeVerdict.REFUSE)
+
+    def test_restarted_previous_home_does_not_surrender(self) -> None:
+        mesh, old, new = self.make_moved_key()
+        mesh.restart(old)
+        self.wait(mesh, new, 3)
+        self.assertIs(mesh.request("k1", 0), HomeVerdict.ASK_PREVIOUS)
+        self.assertEqual(mesh.runs["k1"], [])
+
     def test_waits_end(self) -> None:
         mesh, _, new = self.make_moved_key()
         for _ in range(6):
@@ -162,6 +179,23 @@
             mesh.sync(new)
         self.assertIs(mesh.request("k1", 0), HomeVerdict.RUN)
 
+    def test_changes_missed_during_a_gap_make_blind(self) -> None:
+        home = choose_home("k1", HOSTS)
+        for n_missed, verdict in ((0, HomeVerdict.RUN), (2, HomeVerdict.REFUSE)):
+            mesh = Mesh()
+            mesh.now += AGE_S + 1.0
+            for _ in range(n_missed):
+                mesh.toggle(HOSTS.index(home))
+            mesh.sync(HOSTS.index(home))
+            self.assertIs(mesh.request("k1", 0), verdict)
+
+    def test_other_host_refuses(self) -> None:
+        mesh = Mesh()
+        home = choose_home("k1", HOSTS)
+        other = next(host for host in HOSTS if host != home)
+        decision = mesh.guards[other.host_id].decide("k1", WINDOW_S, mesh.now)
+        self.assertIs(decision.verdict, HomeVerdict.REFUSE)
+
     def test_restarted_home_and_stale_view_refuse_as_unknown(self) -> None:
         mesh = Mesh()
         home = choose_home("k1", HOSTS)
