--- a/foxtailway/distribution/admission.py
+++ b/foxtailway/distribution/admission.py
@@ -3,7 +3,7 @@
 from expression import Error, Ok, Result
 
 from foxtailway.common.failure import FailureKind
-from foxtailway.distribution.link import LinkRole, LinkTable
+from foxtailway.distribution.link import Link, LinkRole, LinkTable
 from foxtailway.distribution.message import (
     PROTOCOL_VERSION,
     ControlHello,
@@ -65,6 +65,15 @@
         """Bound the number of children and of full transfers."""
         if hello.host_id in self.list_upper_hosts():
             return Error(RefusedReason.LOOP)
+        if self.is_full(hello) and self.find_displaced(hello) is None:
+            return Error(RefusedReason.FULL)
+        n_full_transfers = self.links.count_full_transfers()
+        if needs_full_transfer and n_full_transfers >= MAX_FULL_TRANSFERS:
+            return Error(RefusedReason.BUSY)
+        return Ok(LinkRole.CHILD)
+
+    def is_full(self, hello: ControlHello) -> bool:
+        """Tell whether there is no place left for a child."""
         others = [
             link
             for link in self.links.list_role(LinkRole.CHILD)
@@ -73,12 +82,20 @@
         capacity = self.fan_out
         if hello.is_relay:
             capacity += max(1, self.fan_out // RELAY_RESERVE_DIVISOR)
-        if len(others) >= capacity:
-            return Error(RefusedReason.FULL)
-        n_full_transfers = self.links.count_full_transfers()
-        if needs_full_transfer and n_full_transfers >= MAX_FULL_TRANSFERS:
-            return Error(RefusedReason.BUSY)
-        return Ok(LinkRole.CHILD)
+        return len(others) >= capacity
+
+    def find_displaced(self, hello: ControlHello) -> Link | None:
+        """Return the child that makes room for one that belongs here.
+
+        Children that took refuge elsewhere while their parent was away thus
+        find their place free when they come back.
+        """
+        if not hello.is_preferred:
+            return None
+        for link in self.links.list_role(LinkRole.CHILD):
+            if not link.is_preferred and link.host_id != hello.host_id:
+                return link
+        return None
 
     def list_upper_hosts(self) -> set[str | None]:
         """Return the own host and those that are or may become its parent."""
--- a/foxtailway/distribution/agent.py
+++ b/foxtailway/distribution/agent.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Coroutine
 from random import Random
 
 from foxtailway.common.clock import Clock
@@ -24,22 +23,19 @@
     DialSucceeded,
     Event,
     LinkAccepted,
-    LinkClosed,
-    MessageReceived,
     OfferDecided,
     Started,
     Stopped,
     TimerFired,
     TopologyUpdated,
-    UpdateSent,
 )
 from foxtailway.distribution.link import LinkRole
 from foxtailway.distribution.message import ControlHello
 from foxtailway.distribution.observer import DistributionObserver
-from foxtailway.distribution.outbox import Outbox
 from foxtailway.distribution.placement import Topology
 from foxtailway.distribution.sink import BundleSink
 from foxtailway.distribution.status import DistributionStatus
+from foxtailway.distribution.stream_pool import StreamPool, TaskGroup
 from foxtailway.model.bundle import BundleKind
 from foxtailway.settings.model import NodeSettings
 from foxtailway.source.collector import BundleCollector
@@ -91,14 +87,11 @@
         self.core = DistributionCore(
             settings=settings, random_source=random_source, now=clock.now()
         )
-        self.streams: dict[int, MessageStream] = {}
-        self.outboxes: dict[int, Outbox] = {}
-        self.tasks: set[asyncio.Task] = set()
+        self.tasks = TaskGroup()
+        self.pool = StreamPool(tasks=self.tasks, handle=self.handle)
         self.events: deque[Event] = deque()
         self.is_handling = False
         self.timer: asyncio.TimerHandle | None = None
-        self.n_past_bytes_sent = 0
-        self.n_past_bytes_received = 0
         self.executors = {
             Dial: self.execute_dial,
             Send: self.execute_send,
@@ -125,10 +118,9 @@
             That message.
         """
         link_id = self.core.allocate_link_id()
-        writer = self.attach(link_id, stream)
+        self.pool.attach(link_id, stream)
         self.handle(LinkAccepted(link_id=link_id, hello=hello))
-        await self.read(link_id, stream)
-        await asyncio.wait([writer], timeout=GOODBYE_TIMEOUT_S)
+        await self.pool.read(link_id)
 
     def update_topology(self, topology: Topology) -> None:
         """Take over the hosts of the snapshot in force."""
@@ -138,9 +130,6 @@
         """Return where the node stands."""
         core = self.core
         parent = core.uplink.parent
-        streams = self.streams.values()
-        n_sent = sum(stream.n_bytes_sent for stream in streams)
-        n_received = sum(stream.n_bytes_received for stream in streams)
         placement = core.placement
         return DistributionStatus(
             role=placement.role.name.lower() if placement else None,
@@ -151,8 +140,8 @@
             n_hops=core.context.freshness.n_hops,
             is_bootstrapping=not core.bootstrap.is_over,
             n_refused_older=core.context.n_refused_older,
-            n_bytes_sent=self.n_past_bytes_sent + n_sent,
-            n_bytes_received=self.n_past_bytes_received + n_received,
+            n_bytes_sent=self.pool.n_bytes_sent,
+            n_bytes_received=self.pool.n_bytes_received,
             n_platform_calls=core.platform.poller.n_calls,
             last_failure=core.context.last_failure,
         )
@@ -162,17 +151,8 @@
         self.handle(Stopped())
         if self.timer is not None:
             self.timer.cancel()
-        if self.outboxes:
-            await asyncio.sleep(0)
-        writers = [task for task in self.tasks if task.get_name() == "writer"]
-        if writers:
-            await asyncio.wait(writers, timeout=GOODBYE_TIMEOUT_S)
-        remaining = list(self.tasks)
-        for task in remaining:
-            task.cancel()
-        await asyncio.gather(*remaining, return_exceptions=True)
-        for stream in list(self.streams.values()):
-            stream.close()
+        await self.pool.drain(timeout_s=GOODBYE_TIMEOUT_S)
+        await self.tasks.cancel()
 
     def handle(self, event: Event) -> None:
         """Feed an event to the core and carry out its actions, in order."""
@@ -194,29 +174,29 @@
 
     def execute_dial(self, action: Dial) -> None:
         """Connect in the background."""
-        self.spawn(self.dial(action), name="reader")
+        self.tasks.spawn(self.dial(action))
 
     def execute_send(self, action: Send) -> None:
         """Queue a message."""
-        outbox = self.outboxes.get(action.link_id)
+        outbox = self.pool.outboxes.get(action.link_id)
         if outbox is not None:
             outbox.put(action.message)
 
     def execute_send_update(self, action: SendUpdate) -> None:
         """Queue an update."""
-        outbox = self.outboxes.get(action.link_id)
+        outbox = self.pool.outboxes.get(action.link_id)
         if outbox is not None:
             outbox.put_update(action.kind, action.parts)
 
     def execute_close_link(self, action: CloseLink) -> None:
         """Close a stream after what was queued."""
-        outbox = self.outboxes.get(action.link_id)
+        outbox = self.pool.outboxes.get(action.link_id)
         if outbox is not None:
             outbox.close()
 
     def execute_collect(self, action: Collect) -> None:
         """Ask the platform in the background."""
-        self.spawn(self.collect(action), name="collector")
+        self.tasks.spawn(self.collect(action))
 
     def execute_offer(self, action: Offer) -> None:
         """Offer a bundle to the sink."""
@@ -241,22 +221,6 @@
         loop = asyncio.get_running_loop()
         self.timer = loop.call_later(delay_s, self.handle, TimerFired())
 
-    def spawn(self, work: Coroutine, *, name: str) -> asyncio.Task:
-        """Run a coroutine as a task that the agent owns."""
-        task = asyncio.get_running_loop().create_task(work, name=name)
-        self.tasks.add(task)
-        task.add_done_callback(self.finish_task)
-        return task
-
-    def finish_task(self, task: asyncio.Task) -> None:
-        """Forget a task, and show a programming error at once."""
-        self.tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
-            return
-        asyncio.get_running_loop().call_exception_handler(
-            {"message": "task of the agent failed", "exception": task.exception()}
-        )
-
     async def dial(self, action: Dial) -> None:
         """Connect, then read until the stream ends."""
         dialed = await self.dialer.dial(
@@ -272,45 +236,9 @@
         if self.core.links.find(link_id) is None:
             stream.close()
             return
-        self.attach(link_id, stream)
+        self.pool.attach(link_id, stream)
         self.handle(DialSucceeded(link_id=link_id))
-        await self.read(link_id, stream)
-
-    def attach(self, link_id: int, stream: MessageStream) -> asyncio.Task:
-        """Start sending over a connected stream."""
-        outbox = Outbox(
-            stream=stream,
-            on_update_sent=lambda kind: self.handle(
-                UpdateSent(link_id=link_id, kind=kind)
-            ),
-        )
-        self.streams[link_id] = stream
-        self.outboxes[link_id] = outbox
-        return self.spawn(self.write(link_id, outbox), name="writer")
-
-    async def write(self, link_id: int, outbox: Outbox) -> None:
-        """Send until the stream ends."""
-        result = await outbox.run()
-        if result.is_error():
-            self.handle(LinkClosed(link_id=link_id, failure=result.error))
-            outbox.stream.close()
-
-    async def read(self, link_id: int, stream: MessageStream) -> None:
-        """Feed received messages to the core until the stream ends."""
-        while True:
-            received = await stream.receive()
-            if received.is_error():
-                break
-            self.handle(MessageReceived(link_id=link_id, message=received.ok))
-        self.handle(LinkClosed(link_id=link_id, failure=received.error))
-        self.detach(link_id)
-
-    def detach(self, link_id: int) -> None:
-        """Forget a stream that ended."""
-        stream = self.streams.pop(link_id)
-        self.n_past_bytes_sent += stream.n_bytes_sent
-        self.n_past_bytes_received += stream.n_bytes_received
-        self.outboxes.pop(link_id).close()
+        await self.pool.read(link_id)
 
     async def collect(self, action: Collect) -> None:
         """Ask the platform and feed the answer to the core."""
--- a/foxtailway/distribution/core.py
+++ b/foxtailway/distribution/core.py
@@ -6,6 +6,7 @@
 from foxtailway.distribution.action import Action, WakeAt
 from foxtailway.distribution.bootstrap import Bootstrap
 from foxtailway.distribution.context import CoreContext
+from foxtailway.distribution.dispatcher import MessageDispatcher
 from foxtailway.distribution.downlink import Downlink
 from foxtailway.distribution.event import (
     Collected,
@@ -23,15 +24,9 @@
     UpdateSent,
 )
 from foxtailway.distribution.exchange import VersionExchange
-from foxtailway.distribution.link import Link, LinkRole
-from foxtailway.distribution.message import (
-    Goodbye,
-    Heartbeat,
-    HeldReport,
-    SubscriptionRefused,
-    UpdatePart,
-    Welcome,
-)
+from foxtailway.distribution.link import LinkRole
+from foxtailway.distribution.liveness import Liveness
+from foxtailway.distribution.message import Goodbye
 from foxtailway.distribution.placement import Placement, place
 from foxtailway.distribution.platform import PlatformSide
 from foxtailway.distribution.uplink import Uplink
@@ -40,7 +35,6 @@
 __all__ = ["DistributionCore"]
 
 TICKS_PER_HEARTBEAT = 4
-DIALED_ROLES = (LinkRole.PARENT, LinkRole.TRIAL, LinkRole.PROBE)
 
 
 class DistributionCore:
@@ -70,6 +64,13 @@
         self.uplink = Uplink(context=self.context, exchange=self.exchange)
         self.downlink = Downlink(context=self.context, exchange=self.exchange)
         self.platform = PlatformSide(context=self.context, exchange=self.exchange)
+        self.liveness = Liveness(context=self.context, uplink=self.uplink)
+        self.dispatcher = MessageDispatcher(
+            context=self.context,
+            exchange=self.exchange,
+            uplink=self.uplink,
+            liveness=self.liveness,
+        )
         self.placement: Placement | None = None
         self.is_running = False
         self.handlers = {
@@ -141,8 +142,7 @@
         now = self.context.now
         if not self.bootstrap.is_over and now >= self.bootstrap.deadline_s:
             self.exchange.release()
-        self.drop_silent_links()
-        self.send_heartbeats(interval_s=self.sizes.heartbeat_s)
+        self.liveness.tick()
         is_lost = self.is_lost()
         self.platform.tick(is_lost=is_lost)
         self.uplink.tick(is_lost=is_lost)
@@ -166,33 +166,6 @@
             return True
         return self.uplink.parent is None and not self.platform.poller.is_reader
 
-    def drop_silent_links(self) -> None:
-        """Leave peers that were not heard of for too long."""
-        now = self.context.now
-        for link in list(self.links.links.values()):
-            limit_s = self.sizes.silence_s
-            if not link.is_welcome:
-                limit_s = 2 * self.sizes.connect_timeout_s
-            if now - link.heard_s <= limit_s:
-                continue
-            self.context.close(link)
-            self.context.fail(
-                Step.RECEIVE,
-                FailureKind.TIMEOUT,
-                peer=link.peer,
-                detail=f"silent for {now - link.heard_s:.1f} s",
-            )
-            if link.role in DIALED_ROLES:
-                self.uplink.lose(link, None, blocked_s=self.sizes.silence_s)
-
-    def send_heartbeats(self, *, interval_s: float) -> None:
-        """Send a heartbeat on streams that were quiet for `interval_s`."""
-        now = self.context.now
-        beacon = self.context.freshness.beacon(now)
-        for link in self.links.links.values():
-            if link.exchanges_updates and now - link.sent_s >= interval_s:
-                self.context.send(link, Heartbeat(beacon=beacon))
-
     def on_started(self, event: Started) -> None:
         """Ask the seeds, and look for a parent soon after."""
         self.is_running = True
@@ -232,7 +205,7 @@
         link = self.links.links.pop(event.link_id, None)
         if link is None:
             return
-        if link.role in DIALED_ROLES:
+        if link.is_dialed:
             self.uplink.lose(link, event.failure, blocked_s=0.0)
         elif event.failure.kind is not FailureKind.CLOSED:
             self.context.report(event.failure)
@@ -268,54 +241,7 @@
         )
 
     def on_message_received(self, event: MessageReceived) -> None:
-        """Handle a message by its type and by the role of its stream."""
+        """Handle a message of a known stream."""
         link = self.links.find(event.link_id)
-        if link is None:
-            return
-        link.heard_s = self.context.now
-        if not self.dispatch(link, event.message):
-            self.context.fail(
-                Step.RECEIVE,
-                FailureKind.INVALID,
-                peer=link.peer,
-                detail=f"unexpected {type(event.message).__name__}",
-            )
-            self.context.close(link)
-            if link.role in DIALED_ROLES:
-                self.uplink.lose(link, None, blocked_s=self.sizes.retry_max_s)
-
-    def dispatch(self, link: Link, message: object) -> bool:
-        """Handle a message; return False if it does not belong here."""
-        awaits_welcome = link.role in DIALED_ROLES and not link.is_welcome
-        match message:
-            case Welcome() if awaits_welcome:
-                self.uplink.receive_welcome(link, message)
-            case SubscriptionRefused() if awaits_welcome:
-                self.uplink.receive_refusal(link, message)
-            case Goodbye():
-                self.receive_goodbye(link)
-            case UpdatePart() if link.exchanges_updates:
-                self.exchange.receive_part(link, message)
-                self.receive_beacon(link, message)
-            case HeldReport() if link.exchanges_updates:
-                self.exchange.receive_report(link, message)
-            case Heartbeat() if link.exchanges_updates:
-                self.receive_beacon(link, message)
-            case _:
-                return False
-        return True
-
-    def receive_beacon(self, link: Link, message: Heartbeat | UpdatePart) -> None:
-        """Take over the parent's beacon and pass it on without delay."""
-        if link.role is not LinkRole.PARENT:
-            return
-        if self.links.find(link.link_id) is None:
-            return
-        self.uplink.hear_beacon(message.beacon)
-        self.send_heartbeats(interval_s=self.sizes.heartbeat_s / 2)
-
-    def receive_goodbye(self, link: Link) -> None:
-        """Leave a peer that is about to stop."""
-        self.context.close(link)
-        if link.role in DIALED_ROLES:
-            self.uplink.lose(link, None, blocked_s=self.sizes.retry_max_s)
+        if link is not None:
+            self.dispatcher.receive(link, event.message)
--- a/foxtailway/distribution/downlink.py
+++ b/foxtailway/distribution/downlink.py
@@ -8,6 +8,7 @@
 from foxtailway.distribution.link import Link, LinkRole
 from foxtailway.distribution.message import (
     ControlHello,
+    Goodbye,
     PeerAddress,
     Purpose,
     RefusedReason,
@@ -76,9 +77,8 @@
 
     def welcome(self, link_id: int, hello: ControlHello, *, role: LinkRole) -> None:
         """Take in a stream, in place of an older one of the same child."""
-        previous = self.context.links.find_child(hello.host_id)
-        if previous is not None and role is LinkRole.CHILD:
-            self.context.close(previous)
+        if role is LinkRole.CHILD:
+            self.make_room(hello)
         now = self.context.now
         link = Link(
             link_id=link_id,
@@ -89,6 +89,7 @@
             opened_s=now,
             heard_s=now,
             sent_s=now,
+            is_preferred=hello.is_preferred,
             staged=frozenset(hello.staged),
         )
         link.replace_known(hello.held)
@@ -101,6 +102,16 @@
         self.context.send(link, message)
         self.exchange.feed(link)
 
+    def make_room(self, hello: ControlHello) -> None:
+        """Close the child's older stream, or that of the child it displaces."""
+        previous = self.context.links.find_child(hello.host_id)
+        if previous is not None:
+            self.context.close(previous)
+        if self.admission.is_full(hello):
+            displaced = self.admission.find_displaced(hello)
+            self.context.send(displaced, Goodbye(alternates=()))
+            self.context.close(displaced)
+
     def refuse(self, link_id: int, hello: ControlHello, reason: RefusedReason) -> None:
         """Refuse a hello early and name other nodes to try."""
         if reason in REFUSAL_FAILURES:
--- a/foxtailway/distribution/link.py
+++ b/foxtailway/distribution/link.py
@@ -47,6 +47,8 @@
         sent, in seconds.
     known : dict of BundleKind to Version
         Versions that the other side holds or was sent.
+    is_preferred : bool
+        Whether the node is the preferred parent of the child at the other end.
     staged : frozenset of bytes
         Digests of documents that the other side staged.
     sending : dict of BundleKind to bool
@@ -68,6 +70,7 @@
     heard_s: float
     sent_s: float
     known: dict[BundleKind, Version] = field(default_factory=dict)
+    is_preferred: bool = False
     staged: frozenset[bytes] = frozenset()
     sending: dict[BundleKind, bool] = field(default_factory=dict)
     assemblies: dict[BundleKind, UpdateAssembly] = field(default_factory=dict)
@@ -79,6 +82,11 @@
         """Return the name of the other side for failures."""
         return self.host_id or str(self.target)
 
+    @property
+    def is_dialed(self) -> bool:
+        """Tell whether this node opened the stream."""
+        return self.target is not None
+
     @property
     def exchanges_updates(self) -> bool:
         """Tell whether versions are pushed over the stream."""
--- a/foxtailway/distribution/message.py
+++ b/foxtailway/distribution/message.py
@@ -111,6 +111,8 @@
         Whether the sender wants updates or only an answer.
     is_relay : bool
         Whether other nodes depend on the sender.
+    is_preferred : bool
+        Whether the receiver is the sender's preferred parent.
     held : tuple of HeldVersion
         Versions held by the sender.
     staged : tuple of bytes
@@ -123,6 +125,7 @@
     zone: str
     purpose: Purpose
     is_relay: bool
+    is_preferred: bool
     held: tuple[HeldVersion, ...]
     staged: tuple[bytes, ...]
 
--- a/foxtailway/distribution/seeker.py
+++ b/foxtailway/distribution/seeker.py
@@ -10,7 +10,7 @@
 __all__ = ["ParentSeeker"]
 
 N_HINTS = 8
-REHOME_SILENCES = 10
+REHOME_SILENCES = 4
 
 
 class ParentSeeker:
--- a/foxtailway/distribution/tests/harness.py
+++ b/foxtailway/distribution/tests/harness.py
@@ -54,6 +54,7 @@
         "zone": "accra-a",
         "purpose": Purpose.FEED,
         "is_relay": False,
+        "is_preferred": False,
         "held": (),
         "staged": (),
         **changes,
--- a/foxtailway/distribution/tests/network.py
+++ b/foxtailway/distribution/tests/network.py
@@ -114,6 +114,7 @@
             case Send():
                 network.transmit(self, action.link_id, action.message)
             case SendUpdate():
+                network.note_update(self, action.link_id)
                 for part in action.parts:
                     network.transmit(self, action.link_id, part)
                 sent = UpdateSent(link_id=action.link_id, kind=action.kind)
@@ -174,7 +175,7 @@
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.cut_zones: set[str] = set()
         self.delivered_s: dict[tuple[str, int], float] = {}
-        self.n_messages = 0
+        self.updates: list[tuple[str, str]] = []
 
     def at(self, time_s: float, run: Callable[[], None]) -> None:
         heappush(self.queue, (max(time_s, self.now), next(self.sequence), run))
@@ -241,9 +242,15 @@
         event = MessageReceived(link_id=peer_link_id, message=message)
         if type(message).__name__ == "ControlHello":
             event = LinkAccepted(link_id=peer_link_id, hello=message)
-        self.n_messages += 1
         self.schedule(node, peer, peer_link_id, event)
 
+    def note_update(self, node: FakeNode, link_id: int) -> None:
+        """Record between which zones an update passes."""
+        if link_id in node.ends:
+            peer = node.ends[link_id][0]
+            zones = (node.settings.host.zone, peer.settings.host.zone)
+            self.updates.append(zones)
+
     def schedule(
         self, node: FakeNode, peer: FakeNode, peer_link_id: int, event: Event
     ) -> None:
--- a/foxtailway/distribution/tests/test_admission.py
+++ b/foxtailway/distribution/tests/test_admission.py
@@ -66,6 +66,17 @@
         harness.handle(UpdateSent(link_id=link.link_id, kind=self.config.kind))
         self.assertIsNone(self.knock("empty-x", held=()))
 
+    def test_a_child_that_belongs_here_displaces_one_that_does_not(self) -> None:
+        for index in range(FAN_OUT - 1):
+            self.knock(f"own-{index}", is_preferred=True)
+        self.knock("refugee")
+        self.assertIsNone(self.knock("own-x", is_preferred=True))
+        links = self.harness.core.links
+        self.assertIsNone(links.find_child("refugee"))
+        self.assertEqual(len(self.harness.list_sent(Goodbye)), 1)
+        refusal = self.knock("own-y", is_preferred=True)
+        self.assertIs(refusal.reason, RefusedReason.FULL)
+
     def test_a_returning_child_takes_its_own_place(self) -> None:
         for index in range(FAN_OUT):
             self.knock(f"leaf-{index}")
--- a/foxtailway/distribution/tests/test_convergence.py
+++ b/foxtailway/distribution/tests/test_convergence.py
@@ -4,9 +4,11 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from expression import Ok
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from foxtailway.distribution.event import Collected
 from foxtailway.distribution.placement import Topology
 from foxtailway.distribution.tests.network import FakeNetwork, is_bad
 from foxtailway.distribution.tests.support import (
@@ -188,3 +190,61 @@
             expected = scenario.apply_naively(kind)
             for node in scenario.network.nodes.values():
                 self.assertEqual(node.applied.get(kind), expected, node.host_id)
+
+
+class CalmTest(unittest.TestCase):
+    def test_a_change_crosses_the_link_once_and_reaches_each_node_once(self) -> None:
+        scenario = Scenario(seed=2)
+        scenario.network.run(60.0)
+        scenario.network.updates.clear()
+        scenario.publish()
+        scenario.network.run(2.0)
+        crossings = [
+            zones
+            for zones in scenario.network.updates
+            if len({ZONE_REGIONS[zone] for zone in zones}) == 2
+        ]
+        newest = scenario.platform.current[BundleKind.CONFIG]
+        for node in scenario.network.nodes.values():
+            self.assertEqual(node.applied[BundleKind.CONFIG], newest)
+        self.assertEqual(len(crossings), 1)
+        self.assertLessEqual(len(scenario.network.updates), N_HOSTS)
+
+
+class PartitionTest(unittest.TestCase):
+    """The newest version wins without the platform, wherever it comes up."""
+
+    def setUp(self) -> None:
+        self.scenario = Scenario(seed=1)
+        self.network = self.scenario.network
+        self.network.run(20.0)
+        self.network.platform.is_up = False
+
+    def list_holders(self, bundle: Bundle) -> set[str]:
+        return {
+            node.settings.host.zone
+            for node in self.network.nodes.values()
+            if node.applied.get(bundle.kind) == bundle
+        }
+
+    def count_holders(self, bundle: Bundle) -> int:
+        held = [node.applied.get(bundle.kind) for node in self.network.nodes.values()]
+        return held.count(bundle)
+
+    def test_a_cut_off_zone_converges_and_healing_spreads_the_newest(self) -> None:
+        for index in range(N_HOSTS):
+            with self.subTest(index=index):
+                newest = make_config(99 + index)
+                self.network.platform.published[newest.kind].append(newest)
+                node = self.network.nodes[f"host-{index}"]
+                zone = node.settings.host.zone
+                self.network.cut_zones.add(zone)
+                self.network.run(20.0)
+                event = Collected(kind=newest.kind, epoch=0, result=Ok(newest))
+                node.handle(event)
+                self.network.run(5.0)
+                self.assertEqual(self.list_holders(newest), {zone})
+                self.assertEqual(self.count_holders(newest), N_HOSTS // 4)
+                self.network.cut_zones.clear()
+                self.network.run(15.0)
+                self.assertEqual(self.count_holders(newest), N_HOSTS)
--- a/foxtailway/distribution/uplink.py
+++ b/foxtailway/distribution/uplink.py
@@ -89,6 +89,7 @@
             zone=host.zone,
             purpose=Purpose.PROBE if is_probe else Purpose.FEED,
             is_relay=self.is_relay,
+            is_preferred=link.target in self.seeker.candidates[:1],
             held=self.exchange.list_held(),
             staged=() if is_probe else tuple(self.exchange.staging.documents),
         )
