Compare freshness sparsely and bound received parts

Cause: with the platform out, every node is stale; each would have tried other parents every few seconds, most of them the few nodes on top, and a trial could displace a child before it was abandoned. Members also had readers across the link among their candidates. A peer could send parts without documents, or one document again and again, without bound.

Change: a stale node probes a nearby peer about once per stale interval and moves only to a clearly fresher one; the way home is taken unless it is clearly staler; members keep to their region. Empty parts and repeated documents end the stream, and encoded bytes count towards the bound.

--- a/foxtailway/distribution/assembly.py
+++ b/foxtailway/distribution/assembly.py
@@ -75,12 +75,16 @@
         """Take a part in and return the bundle once it is whole and verified."""
         if not 0 <= part.n_documents <= MAX_BUNDLE_DOCUMENTS:
             return self.fail(FailureKind.TOO_LARGE, f"{part.n_documents} documents")
+        if part.n_documents and not part.documents:
+            return self.fail(FailureKind.INVALID, "part without documents")
         for encoded in part.documents:
+            if encoded.key in self.documents:
+                return self.fail(FailureKind.INVALID, f"{encoded.key}: sent twice")
             decoded = self.decode(encoded, staging)
             if decoded.is_error():
                 return Error(decoded.error)
             self.documents[encoded.key] = decoded.ok
-            self.n_bytes += len(decoded.ok.content)
+            self.n_bytes += len(encoded.content) + len(decoded.ok.content)
             if self.n_bytes > MAX_BUNDLE_BYTES:
                 return self.fail(FailureKind.TOO_LARGE, f"{self.n_bytes} bytes")
             if encoded.encoding is Encoding.FULL:
--- a/foxtailway/distribution/context.py
+++ b/foxtailway/distribution/context.py
@@ -46,7 +46,7 @@
         self.random_source = random_source
         self.now = now
         self.links = LinkTable()
-        self.freshness = Freshness()
+        self.freshness = Freshness(stale_s=settings.distribution.stale_s)
         self.actions: list[Action] = []
         self.link_ids = count(1)
         self.last_failure: Failure | None = None
--- a/foxtailway/distribution/core.py
+++ b/foxtailway/distribution/core.py
@@ -162,7 +162,7 @@
 
     def is_lost(self) -> bool:
         """Tell whether the node lacks a fresh way to the platform."""
-        if self.uplink.is_stale():
+        if self.context.freshness.is_stale(self.context.now):
             return True
         return self.uplink.parent is None and not self.platform.poller.is_reader
 
@@ -235,6 +235,7 @@
         self.uplink.is_relay = placement.is_relay
         self.uplink.seeker.place(
             candidates=placement.candidates,
+            nearby=placement.nearby,
             rescuers=placement.rescuers,
             listed_seeds=placement.listed_seeds,
             now=self.context.now,
--- a/foxtailway/distribution/freshness.py
+++ b/foxtailway/distribution/freshness.py
@@ -1,6 +1,6 @@
 """Age of the platform's last confirmation."""
 
-from math import ceil
+from math import ceil, inf
 
 from foxtailway.distribution.message import Beacon
 from foxtailway.model.bundle import BundleKind
@@ -9,6 +9,7 @@
 
 MS_PER_S = 1_000
 HOP_AGE_MS = 1
+CLEAR_SHARE = 0.5
 
 
 class Freshness:
@@ -18,6 +19,11 @@
     wall clocks are compared. An age may be too low by the time that beacons
     spent under way.
 
+    Parameters
+    ----------
+    stale_s : float
+        Age above which a confirmation is stale, in seconds.
+
     Attributes
     ----------
     confirmed_s : float or None
@@ -26,7 +32,8 @@
         Nodes between this one and the platform.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, stale_s: float) -> None:
+        self.stale_s = stale_s
         self.confirmed_s: float | None = None
         self.n_hops = 0
         self.kinds: dict[BundleKind, float] = {}
@@ -67,3 +74,29 @@
         if age_s is None:
             return Beacon(age_ms=None, n_hops=0)
         return Beacon(age_ms=ceil(age_s * MS_PER_S) + HOP_AGE_MS, n_hops=self.n_hops)
+
+    def is_stale(self, now: float) -> bool:
+        """Tell whether there is no confirmation, or only too old a one."""
+        age_s = self.age_s(now)
+        return age_s is None or age_s > self.stale_s
+
+    def lag_s(self, beacon: Beacon, now: float) -> float:
+        """Return how much older a peer's confirmation is, in seconds.
+
+        Negative for a peer that is ahead; infinite where one side has no
+        confirmation at all.
+        """
+        age_s = self.age_s(now)
+        if beacon.age_ms is None:
+            return inf if age_s is not None else 0.0
+        if age_s is None:
+            return -inf
+        return beacon.age_ms / MS_PER_S - age_s
+
+    def is_clearly_ahead(self, beacon: Beacon, now: float) -> bool:
+        """Tell whether a peer is fresher by a good deal."""
+        return self.lag_s(beacon, now) < -self.stale_s * CLEAR_SHARE
+
+    def is_clearly_behind(self, beacon: Beacon, now: float) -> bool:
+        """Tell whether a peer is staler by a good deal."""
+        return self.lag_s(beacon, now) > self.stale_s * CLEAR_SHARE
--- a/foxtailway/distribution/placement.py
+++ b/foxtailway/distribution/placement.py
@@ -43,6 +43,9 @@
         Highest role of the host.
     candidates : tuple of PeerAddress
         Possible parents, the preferred one first; each ranks strictly higher.
+    nearby : tuple of PeerAddress
+        Nodes whose freshness is compared when the parent is stale; chosen so
+        that nobody is asked by many.
     rescuers : tuple of PeerAddress
         Lower-ranked nodes of the same role, asked only when the host has lost
         the platform and every candidate.
@@ -58,6 +61,7 @@
 
     role: Role
     candidates: tuple[PeerAddress, ...]
+    nearby: tuple[PeerAddress, ...]
     rescuers: tuple[PeerAddress, ...]
     fallback_rank: int
     n_hosts: int
@@ -182,10 +186,16 @@
     def place(self) -> Placement:
         """Return the place of the host."""
         role = self.find_role()
+        candidates = self.list_candidates(role)
+        rescuers = self.list_rescuers(role)
+        nearby = candidates + rescuers
+        if role is Role.MEMBER:
+            nearby = unique(self.list_tree_parents())
         return Placement(
             role=role,
-            candidates=to_peers(self.list_candidates(role)),
-            rescuers=to_peers(self.list_rescuers(role)),
+            candidates=to_peers(candidates),
+            nearby=to_peers(nearby),
+            rescuers=to_peers(rescuers),
             fallback_rank=self.find_fallback_rank(role),
             n_hosts=max(1, len(self.topology.hosts)),
             is_relay=role is not Role.MEMBER or self.has_tree_children(),
@@ -217,9 +227,9 @@
             return peers + rotate(self.readers, region_offset)
         zone_offset = self.zones.index(self.zone) if self.zone in self.zones else 0
         upper = rotate(self.gateways, zone_offset + self.zone_rank)
-        if self.region != self.store_region:
-            upper = upper + rotate(self.readers, region_offset)
         if role is Role.HEAD:
+            if self.region != self.store_region:
+                upper = upper + rotate(self.readers, region_offset)
             return unique(upper + self.zone_order[: self.zone_rank])
         heads = rotate(self.zone_order[: self.sizes.n_heads], self.zone_rank)
         return unique(self.list_tree_parents() + heads + upper)
--- a/foxtailway/distribution/seeker.py
+++ b/foxtailway/distribution/seeker.py
@@ -27,6 +27,8 @@
     ----------
     candidates : tuple of PeerAddress
         Possible parents by preference.
+    nearby : tuple of PeerAddress
+        Nodes with which a stale parent is compared.
     rescuers : tuple of PeerAddress
         Nodes asked when the node lost every candidate.
     retry_at_s : float
@@ -47,6 +49,7 @@
         )
         self.candidates: tuple[PeerAddress, ...] = ()
         self.rescuers: tuple[PeerAddress, ...] = ()
+        self.nearby = self.seeds
         self.is_placed = False
         self.last_resorts = self.seeds
         self.hints: deque[PeerAddress] = deque(maxlen=N_HINTS)
@@ -64,6 +67,7 @@
         self,
         *,
         candidates: tuple[PeerAddress, ...],
+        nearby: tuple[PeerAddress, ...],
         rescuers: tuple[PeerAddress, ...],
         listed_seeds: frozenset[SeedAddress],
         now: float,
@@ -79,6 +83,7 @@
             self.hints.clear()
             self.postpone(now=now)
         self.candidates = candidates
+        self.nearby = nearby
         self.rescuers = rescuers
         self.is_placed = True
         listed = {(seed.address, seed.port) for seed in listed_seeds}
@@ -128,6 +133,13 @@
                 return peers[index]
         return None
 
+    def choose_nearby(self, *, now: float, avoid: frozenset[str]) -> PeerAddress | None:
+        """Return a random peer with which to compare the parent, or None."""
+        usable = [
+            peer for peer in self.nearby if self.is_usable(peer, now=now, avoid=avoid)
+        ]
+        return self.random_source.choice(usable) if usable else None
+
     def is_usable(
         self, peer: PeerAddress, *, now: float, avoid: frozenset[str]
     ) -> bool:
@@ -148,6 +160,12 @@
         """Tell whether a parent is the first candidate."""
         return not self.candidates or self.candidates[0].host_id == host_id
 
+    def is_nearer_home(self, host_id: str, *, than: str | None) -> bool:
+        """Tell whether the topology puts the node below a host rather."""
+        if not self.is_candidate(host_id):
+            return False
+        return not self.is_candidate(than) or self.is_preferred(host_id)
+
     def note_failure(
         self,
         target: PeerAddress,
--- a/foxtailway/distribution/tests/test_delta.py
+++ b/foxtailway/distribution/tests/test_delta.py
@@ -90,6 +90,14 @@
         kind = self.assemble(wrong, base=None, staging=Staging())
         self.assertIs(kind, FailureKind.DIGEST_MISMATCH)
 
+    def test_repeated_and_empty_parts_are_refused(self) -> None:
+        part = encode_update(make_config(2), base=None)[0]
+        twice = replace(part, documents=part.documents[:1] * 2)
+        empty = replace(part, documents=())
+        for wrong in (twice, empty):
+            kind = self.assemble((wrong,), base=None, staging=Staging())
+            self.assertIs(kind, FailureKind.INVALID)
+
     def test_a_relay_forwards_what_it_received(self) -> None:
         sender, relay = UpdateEncoder(), UpdateEncoder()
         base, bundle = make_config(1), make_config(2)
--- a/foxtailway/distribution/tests/test_versions.py
+++ b/foxtailway/distribution/tests/test_versions.py
@@ -1,10 +1,15 @@
 import unittest
+from dataclasses import replace
 
 from foxtailway.common import FailureKind
 from foxtailway.distribution.action import CloseLink, Collect, Dial
+from foxtailway.distribution.delta import encode_update
+from foxtailway.distribution.event import DialSucceeded
 from foxtailway.distribution.history import VersionHistory
 from foxtailway.distribution.message import (
+    ControlHello,
     Encoding,
+    Goodbye,
     HeldReport,
     Purpose,
     SubscriptionRefused,
@@ -128,6 +133,23 @@
         actions = self.harness.receive(link_id, HeldReport(held=()))
         self.assertIsNone(self.harness.list_updates(actions)[0].base_digest)
 
+    def test_a_broken_transfer_resumes_with_what_was_staged(self) -> None:
+        harness = CoreHarness("other", seeds=SEEDS)
+        harness.start()
+        link_id = harness.welcome(harness.next_dial())
+        part = encode_update(make_config(2), base=None)[0]
+        harness.receive(link_id, replace(part, documents=part.documents[:2]))
+        harness.receive(link_id, Goodbye(alternates=()))
+        harness.handle(DialSucceeded(link_id=harness.next_dial().link_id))
+        hello = harness.list_sent(ControlHello)[-1]
+        self.assertEqual(
+            hello.staged, tuple(document.digest for document in part.documents[:2])
+        )
+        self.harness.collect(make_config(2))
+        update = self.harness.list_updates(self.harness.accept(hello))[0]
+        encodings = [document.encoding for document in update.documents]
+        self.assertEqual(encodings, [Encoding.STAGED, Encoding.STAGED, Encoding.FULL])
+
     def test_only_the_latest_version_waits_for_a_slow_child(self) -> None:
         self.harness.collect(make_config(1))
         self.harness.accept(make_hello(held=name_held(make_config(1))))
--- a/foxtailway/distribution/uplink.py
+++ b/foxtailway/distribution/uplink.py
@@ -3,6 +3,7 @@
 from foxtailway.common.failure import Failure, FailureKind, Step
 from foxtailway.distribution.action import Dial
 from foxtailway.distribution.admission import REFUSAL_FAILURES
+from foxtailway.distribution.comparison import StaleComparison
 from foxtailway.distribution.context import CoreContext
 from foxtailway.distribution.exchange import VersionExchange
 from foxtailway.distribution.link import Link, LinkRole
@@ -20,7 +21,6 @@
 __all__ = ["Uplink"]
 
 MAX_HOPS = 32
-MS_PER_S = 1_000
 
 
 class Uplink:
@@ -39,20 +39,17 @@
         self.exchange = exchange
         self.sizes = context.settings.distribution
         self.is_relay = False
+        self.fresher: PeerAddress | None = None
         self.seeker = ParentSeeker(
             settings=context.settings, random_source=context.random_source
         )
+        self.comparison = StaleComparison(context=context, seeker=self.seeker)
 
     @property
     def parent(self) -> Link | None:
         """Return the stream to the parent."""
         return self.context.links.find_role(LinkRole.PARENT)
 
-    def is_stale(self) -> bool:
-        """Tell whether the platform's last confirmation is too old."""
-        age_s = self.context.freshness.age_s(self.context.now)
-        return age_s is None or age_s > self.sizes.stale_s
-
     def probe_seeds(self) -> None:
         """Ask some seeds which versions they hold."""
         for target in self.seeker.last_resorts[: self.sizes.n_bootstrap_peers]:
@@ -115,11 +112,16 @@
         self.exchange.feed(link)
 
     def finish_probe(self, link: Link, welcome: Welcome) -> None:
-        """Note a peer's versions, and prefer it as parent if they are newest."""
-        is_newest = self.exchange.bootstrap.answer(link.link_id, welcome.held)
-        if is_newest:
-            self.seeker.hints.appendleft(link.target)
+        """Use a peer's answer, and prefer it as parent if it is ahead."""
         self.context.close(link)
+        bootstrap = self.exchange.bootstrap
+        if bootstrap.is_over:
+            freshness = self.context.freshness
+            if freshness.is_clearly_ahead(welcome.beacon, self.context.now):
+                self.fresher = link.target
+            return
+        if bootstrap.answer(link.link_id, welcome.held):
+            self.seeker.hints.appendleft(link.target)
         self.exchange.release()
 
     def is_acceptable(self, welcome: Welcome) -> bool:
@@ -131,19 +133,11 @@
             return False
         if self.parent is None:
             return True
-        if self.is_stale():
-            return self.is_clearly_fresher(welcome.beacon)
-        age_ms = welcome.beacon.age_ms
-        return age_ms is not None and age_ms <= self.sizes.stale_s * MS_PER_S
-
-    def is_clearly_fresher(self, beacon: Beacon) -> bool:
-        """Compare a beacon with the node's own freshness."""
-        if beacon.age_ms is None:
-            return False
-        age_s = self.context.freshness.age_s(self.context.now)
-        if age_s is None:
-            return True
-        return beacon.age_ms / MS_PER_S < age_s - self.sizes.stale_s / 2
+        freshness = self.context.freshness
+        now = self.context.now
+        if self.seeker.is_nearer_home(welcome.host_id, than=self.parent.host_id):
+            return not freshness.is_clearly_behind(welcome.beacon, now)
+        return freshness.is_clearly_ahead(welcome.beacon, now)
 
     def hear_beacon(self, beacon: Beacon) -> None:
         """Take over the parent's freshness, unless it comes round in a loop."""
@@ -209,6 +203,7 @@
         """Try the next possible parent when there is reason to."""
         now = self.context.now
         self.leave_rescuer(is_lost=is_lost)
+        self.compare_stale_parent()
         if self.context.links.find_role(LinkRole.TRIAL) is not None:
             return
         if now < self.seeker.retry_at_s:
@@ -217,6 +212,16 @@
         if target is not None:
             self.dial(target, role=LinkRole.TRIAL)
 
+    def compare_stale_parent(self) -> None:
+        """Ask now and then whether another node is clearly fresher."""
+        is_stale = self.context.freshness.is_stale(self.context.now)
+        if self.parent is None or not is_stale or not self.exchange.bootstrap.is_over:
+            self.comparison.cancel()
+            return
+        target = self.comparison.choose(avoid=self.list_avoided())
+        if target is not None:
+            self.dial(target, role=LinkRole.PROBE)
+
     def leave_rescuer(self, *, is_lost: bool) -> None:
         """Leave a lower-ranked parent once the platform itself answers again."""
         parent = self.parent
@@ -230,7 +235,11 @@
         now = self.context.now
         seeker = self.seeker
         parent = self.parent
-        if parent is None or is_lost or not seeker.is_candidate(parent.host_id):
+        if self.fresher is not None:
+            target = self.fresher
+            self.fresher = None
+            return target
+        if parent is None or not seeker.is_candidate(parent.host_id):
             target = seeker.choose(now=now, avoid=self.list_avoided(), is_lost=is_lost)
             if target is None:
                 seeker.postpone(now=now)
