Name children as alternates before a host list is known

Cause: a trial of 30 agents on real sockets stalled: seeds without a host list refused the 25th node without naming anyone else.

Change: a hello carries the sender's mesh address, and a node without a host list names its children when it refuses.

--- a/foxtailway/distribution/downlink.py
+++ b/foxtailway/distribution/downlink.py
@@ -89,6 +89,9 @@
             opened_s=now,
             heard_s=now,
             sent_s=now,
+            listener=PeerAddress(
+                host_id=hello.host_id, address=hello.address, port=hello.port
+            ),
             is_preferred=hello.is_preferred,
             staged=frozenset(hello.staged),
         )
@@ -137,10 +140,10 @@
         return longest_s * self.context.random_source.uniform(0.5, 1.0)
 
     def list_alternates(self, hello: ControlHello) -> tuple[PeerAddress, ...]:
-        """Return some hosts of the refused node's zone."""
+        """Return some hosts of the refused node's zone, or the own children."""
         if hello.mesh != self.context.settings.host.mesh:
             return ()
-        peers = self.group_peers().get(hello.zone, [])
+        peers = self.group_peers().get(hello.zone) or self.list_children()
         own_id = self.context.settings.host.host_id
         chosen = self.context.random_source.sample(
             peers, k=min(len(peers), N_ALTERNATES)
@@ -149,6 +152,11 @@
             peer for peer in chosen if peer.host_id not in (own_id, hello.host_id)
         )
 
+    def list_children(self) -> list[PeerAddress]:
+        """Return the mesh addresses of the children."""
+        children = self.context.links.list_role(LinkRole.CHILD)
+        return [link.listener for link in children if link.listener]
+
     def group_peers(self) -> dict[str, list[PeerAddress]]:
         """Return the hosts of the topology by zone, grouped on first use."""
         if self.zone_peers is None:
--- a/foxtailway/distribution/link.py
+++ b/foxtailway/distribution/link.py
@@ -40,6 +40,8 @@
         Dialed address; None for accepted streams.
     host_id : str or None
         Host at the other end, once known.
+    listener : PeerAddress or None
+        Mesh listener of a node that opened the stream.
     is_welcome : bool
         Whether the hello was welcomed.
     opened_s, heard_s, sent_s : float
@@ -70,6 +72,7 @@
     heard_s: float
     sent_s: float
     known: dict[BundleKind, Version] = field(default_factory=dict)
+    listener: PeerAddress | None = None
     is_preferred: bool = False
     staged: frozenset[bytes] = frozenset()
     sending: dict[BundleKind, bool] = field(default_factory=dict)
--- a/foxtailway/distribution/message.py
+++ b/foxtailway/distribution/message.py
@@ -107,6 +107,10 @@
         Version of the protocol spoken by the sender.
     mesh, host_id, zone : str
         Identity of the sender.
+    address : str
+        IP address of the sender's mesh listener.
+    port : int
+        TCP port of the sender's mesh listener.
     purpose : Purpose
         Whether the sender wants updates or only an answer.
     is_relay : bool
@@ -123,6 +127,8 @@
     mesh: str
     host_id: str
     zone: str
+    address: str
+    port: int
     purpose: Purpose
     is_relay: bool
     is_preferred: bool
--- a/foxtailway/distribution/tests/harness.py
+++ b/foxtailway/distribution/tests/harness.py
@@ -52,6 +52,8 @@
         "mesh": MESH,
         "host_id": host_id,
         "zone": "accra-a",
+        "address": "127.0.2.1",
+        "port": 7000,
         "purpose": Purpose.FEED,
         "is_relay": False,
         "is_preferred": False,
--- a/foxtailway/distribution/tests/test_admission.py
+++ b/foxtailway/distribution/tests/test_admission.py
@@ -53,6 +53,11 @@
         self.assertTrue(all(peer.host_id.startswith("b-") for peer in alternates))
         self.assertGreater(refusals[-1].retry_after_s, 1.0)
 
+    def test_without_a_host_list_refusals_name_children(self) -> None:
+        refusals = [self.knock(f"leaf-{index}") for index in range(FAN_OUT + 1)]
+        names = {peer.host_id for peer in refusals[-1].alternates}
+        self.assertEqual(names, {f"leaf-{index}" for index in range(FAN_OUT)})
+
     def test_full_transfers_are_bounded_and_do_not_starve_the_others(self) -> None:
         harness = self.harness
         for index in range(3):
--- a/foxtailway/distribution/uplink.py
+++ b/foxtailway/distribution/uplink.py
@@ -84,6 +84,8 @@
             mesh=host.mesh,
             host_id=host.host_id,
             zone=host.zone,
+            address=host.address,
+            port=self.context.settings.listen.mesh_port,
             purpose=Purpose.PROBE if is_probe else Purpose.FEED,
             is_relay=self.is_relay,
             is_preferred=link.target in self.seeker.candidates[:1],
