--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, one module for each, that print JSON lines."""
--- a/foxtailway/config/base_file.py
+++ b/foxtailway/config/base_file.py
@@ -1,6 +1,6 @@
 """The base file as a whole: indexes of its sections and checks across them."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from foxtailway.config.bounds import Bounds
@@ -11,7 +11,7 @@
     SectionedDocument,
     read_document,
 )
-from foxtailway.config.typed_section import read_base_section
+from foxtailway.config.typed_section import Target, read_base_section
 from foxtailway.model.bundle import Document
 
 __all__ = ["BaseFile", "read_base_file"]
@@ -81,7 +81,9 @@
     findings += index_sections(sectioned, indexes)
     if sectioned.sections:
         findings += check_presence(sectioned, indexes)
-    findings += check_clusters(sectioned, indexes["route"], indexes["service"])
+    findings += check_clusters(
+        sectioned, list_unproven_routes(sectioned, indexes, previous), indexes
+    )
     findings += check_paths(sectioned, indexes["route"])
     rules = indexes[OVERLAYS_KIND].get("")
     return BaseFile(
@@ -134,16 +136,31 @@
     return findings
 
 
+def list_unproven_routes(
+    document: SectionedDocument,
+    indexes: Mapping[str, Mapping[str, LocatedSection]],
+    previous: BaseFile | None,
+) -> Iterable[LocatedSection]:
+    """Return the routes whose cluster may have become absent.
+
+    While the names of the services stay, these are the fresh routes alone, as
+    the earlier version was valid.
+    """
+    if previous is None or previous.services.keys() != indexes["service"].keys():
+        return indexes["route"].values()
+    return [located for located in document.fresh if located.section.kind == "route"]
+
+
 def check_clusters(
     document: SectionedDocument,
-    routes: Mapping[str, LocatedSection],
-    services: Mapping[str, LocatedSection],
+    routes: Iterable[LocatedSection],
+    indexes: Mapping[str, Mapping[str, LocatedSection]],
 ) -> list[Finding]:
     """Report routes that point at an absent cluster."""
     findings = []
-    for located in routes.values():
+    for located in routes:
         entry = located.section.entries.get("cluster")
-        if entry is not None and entry.value not in services:
+        if entry is not None and entry.value not in indexes["service"]:
             findings.append(
                 document.make_finding(
                     located,
@@ -159,22 +176,24 @@
     document: SectionedDocument, routes: Mapping[str, LocatedSection]
 ) -> list[Finding]:
     """Report routes that accept the same method at the same path."""
+    targets = [
+        target for located in routes.values() for target in located.section.targets
+    ]
+    if len(set(targets)) == len(targets):
+        return []
     findings = []
-    owners: dict[str, dict[str, str]] = {}
+    owners: dict[Target, str] = {}
     for name, located in routes.items():
-        entries = located.section.entries
-        if "path" not in entries or "methods" not in entries:
-            continue
-        methods = owners.setdefault(entries["path"].value, {})
-        for method in sorted(entries["methods"].value):
-            owner = methods.setdefault(method, name)
-            if owner != name:
-                findings.append(
-                    document.make_finding(
-                        located,
-                        key="path",
-                        problem=f"route '{owner}' has the same path for {method}",
-                        allowed="one route for each path and method",
-                    )
+        for target in located.section.targets:
+            owner = owners.setdefault(target, name)
+            if owner == name:
+                continue
+            findings.append(
+                document.make_finding(
+                    located,
+                    key="path",
+                    problem=f"route '{owner}' has the same path for {target.method}",
+                    allowed="one route for each path and method",
                 )
+            )
     return findings
--- a/foxtailway/config/compiler.py
+++ b/foxtailway/config/compiler.py
@@ -1,7 +1,8 @@
 """Compilation of documents into one immutable snapshot."""
 
-from collections.abc import Mapping
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+from operator import attrgetter
 from types import MappingProxyType
 
 from expression import Error, Ok, Result
@@ -54,6 +55,8 @@
         Hosts of all zones.
     clusters, routes : Mapping of str to Item
         Products of the sections.
+    ordered_routes : tuple of Route
+        Routes with the longest path prefix first.
     """
 
     digests: tuple[tuple[str, bytes], ...]
@@ -61,6 +64,7 @@
     fleet: Fleet
     clusters: Mapping[str, Item]
     routes: Mapping[str, Item]
+    ordered_routes: tuple[Route, ...]
 
 
 class SnapshotCompiler:
@@ -123,6 +127,8 @@
     ) -> CompilerState:
         """Build clusters and routes of a valid configuration."""
         last = self.state
+        if last is not None and last.configuration is configuration:
+            return replace(last, fleet=fleet)
         overlay = configuration.overlays.get(self.site)
         clusters = build_items(
             configuration.base.services,
@@ -144,6 +150,7 @@
             fleet=fleet,
             clusters=clusters,
             routes=routes,
+            ordered_routes=order_routes(routes.values()),
         )
 
     def build_snapshot(
@@ -158,7 +165,7 @@
             for name, item in state.clusters.items()
             if name in fleet.live
         }
-        routes = [item.product for item in state.routes.values()]
+        routes = state.ordered_routes
         secret_names = {
             cluster.secret for cluster in clusters.values() if cluster.secret
         }
@@ -170,12 +177,10 @@
                 configuration.base.mesh.section,
                 configuration.overlays.get(self.site),
             ),
-            routes=order_routes(
-                [route for route in routes if route.cluster in clusters]
-            ),
+            routes=tuple(route for route in routes if route.cluster in clusters),
             clusters=MappingProxyType(clusters),
             endpoints=MappingProxyType({name: fleet.live[name] for name in clusters}),
-            hosts=fleet.hosts,
+            hosts=MappingProxyType(fleet.hosts),
             secrets=MappingProxyType(
                 {name: configuration.secrets[name] for name in sorted(secret_names)}
             ),
@@ -186,14 +191,12 @@
         )
 
 
-def order_routes(routes: list[Route]) -> tuple[Route, ...]:
+def order_routes(items: Iterable[Item]) -> tuple[Route, ...]:
     """Return routes with the longest path prefix first."""
-    return tuple(
-        sorted(
-            routes,
-            key=lambda route: (-len(route.path_prefix), route.path_prefix, route.name),
-        )
-    )
+    routes: list[Route] = [item.product for item in items]
+    routes.sort(key=attrgetter("path_prefix", "name"))
+    routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+    return tuple(routes)
 
 
 def list_digests(bundle: Bundle) -> tuple[tuple[str, bytes], ...]:
--- a/foxtailway/config/configuration.py
+++ b/foxtailway/config/configuration.py
@@ -5,7 +5,12 @@
 
 from foxtailway.config.base_file import BaseFile, read_base_file
 from foxtailway.config.finding import Defect, Finding, sort_findings
-from foxtailway.config.overlay import Overlay, check_overlay, read_overlay
+from foxtailway.config.overlay import (
+    CheckedOverlay,
+    Overlay,
+    check_overlay,
+    read_overlay,
+)
 from foxtailway.model.bundle import (
     BASE_KEY,
     OVERLAY_PREFIX,
@@ -30,6 +35,8 @@
         Base file.
     overlays : Mapping of str to Overlay
         Overlays by site.
+    checks : Mapping of str to CheckedOverlay
+        Checks of the overlays by site, for reuse with the next version.
     secrets : Mapping of str to Secret
         Published secrets by name.
     findings : tuple of Finding
@@ -38,6 +45,7 @@
 
     base: BaseFile
     overlays: Mapping[str, Overlay]
+    checks: Mapping[str, CheckedOverlay]
     secrets: Mapping[str, Secret]
     findings: tuple[Finding, ...]
 
@@ -86,14 +94,18 @@
         base_document, previous=None if previous is None else previous.base
     )
     findings += base.findings
-    for overlay in overlays.values():
+    checks: dict[str, CheckedOverlay] = {}
+    for site, overlay in overlays.items():
+        known = None if previous is None else previous.checks.get(site)
+        checks[site] = check_overlay(overlay, base=base, previous=known)
         findings += overlay.findings
-        findings += check_overlay(overlay, base=base)
+        findings += checks[site].findings
     if requires_secrets:
         findings += check_secret_references(base, secrets)
     return Configuration(
         base=base,
         overlays=overlays,
+        checks=checks,
         secrets=secrets,
         findings=sort_findings(findings),
     )
--- a/foxtailway/config/fleet.py
+++ b/foxtailway/config/fleet.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from types import MappingProxyType
 
 from expression import Error, Ok, Result
 
@@ -22,15 +21,15 @@
     ----------
     tables : Mapping of str to HostTable
         Host lists in ascending order of their keys.
-    hosts : Mapping of str to Host
+    hosts : dict of str to Host
         Hosts by identifier.
-    live : Mapping of str to tuple of Host
+    live : dict of str to tuple of Host
         Live hosts by service, in the order of zones and lines.
     """
 
     tables: Mapping[str, HostTable]
-    hosts: Mapping[str, Host]
-    live: Mapping[str, tuple[Host, ...]]
+    hosts: dict[str, Host]
+    live: dict[str, tuple[Host, ...]]
 
 
 EMPTY_FLEET = Fleet(tables={}, hosts={}, live={})
@@ -67,13 +66,7 @@
     if hosts.is_error():
         return hosts
     live = merge_live(earlier, tables, changed)
-    return Ok(
-        Fleet(
-            tables=tables,
-            hosts=MappingProxyType(hosts.ok),
-            live=MappingProxyType(live),
-        )
-    )
+    return Ok(Fleet(tables=tables, hosts=hosts.ok, live=live))
 
 
 def list_changed_keys(
@@ -91,7 +84,7 @@
     earlier: Fleet, tables: Mapping[str, HostTable], changed: list[str]
 ) -> Result[dict[str, Host], Failure]:
     """Replace the hosts of the changed lists."""
-    hosts = dict(earlier.hosts)
+    hosts = earlier.hosts.copy()
     for key in changed:
         if key in earlier.tables:
             for host in earlier.tables[key].by_line.values():
@@ -121,7 +114,7 @@
     earlier: Fleet, tables: Mapping[str, HostTable], changed: list[str]
 ) -> dict[str, tuple[Host, ...]]:
     """Rebuild the live hosts of services that changed in any list."""
-    live = dict(earlier.live)
+    live = earlier.live.copy()
     for service in list_changed_services(earlier, tables, changed):
         hosts: list[Host] = []
         for table in tables.values():
@@ -175,6 +168,6 @@
     }
     return Fleet(
         tables=fleet.tables,
-        hosts=MappingProxyType(hosts),
-        live=MappingProxyType({name: group for name, group in live.items() if group}),
+        hosts=hosts,
+        live={name: group for name, group in live.items() if group},
     )
--- a/foxtailway/config/item.py
+++ b/foxtailway/config/item.py
@@ -59,12 +59,11 @@
     dict of str to Item
         Items by name.
     """
-    changes = {} if overlay is None else overlay.sections
+    changes = list_changes(kind, overlay)
     items: dict[str, Item] = {}
     for name, located in sections.items():
         base = located.section
-        change = changes.get((kind, name))
-        section = None if change is None else change.section
+        section = changes.get(name)
         item = previous.get(name)
         if item is None or item.base is not base or item.overlay is not section:
             merged = merge_entries(base, section)
@@ -74,6 +73,17 @@
     return items
 
 
+def list_changes(kind: str, overlay: Overlay | None) -> dict[str, Section]:
+    """Return the sections of one kind of an overlay, by name."""
+    if overlay is None:
+        return {}
+    return {
+        name: located.section
+        for (section_kind, name), located in overlay.sections.items()
+        if section_kind == kind
+    }
+
+
 def make_cluster(name: str, values: Mapping[str, Any]) -> Cluster:
     """Build a cluster from the values of a section ``service``."""
     return Cluster(
--- a/foxtailway/config/overlay.py
+++ b/foxtailway/config/overlay.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from foxtailway.config.base_file import BaseFile
+from foxtailway.config.bounds import Bounds
 from foxtailway.config.finding import Defect, Finding
 from foxtailway.config.relation import find_contradictions
 from foxtailway.config.sectioned_document import (
@@ -16,7 +17,13 @@
 from foxtailway.config.value_kind import quote
 from foxtailway.model.bundle import Document
 
-__all__ = ["Overlay", "check_overlay", "merge_entries", "read_overlay"]
+__all__ = [
+    "CheckedOverlay",
+    "Overlay",
+    "check_overlay",
+    "merge_entries",
+    "read_overlay",
+]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -96,7 +103,34 @@
     return {**base.entries, **overlay.entries}
 
 
-def check_overlay(overlay: Overlay, *, base: BaseFile) -> list[Finding]:
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CheckedOverlay:
+    """Keep an overlay beside all that it was checked against.
+
+    Parameters
+    ----------
+    overlay : Overlay
+        Overlay of one site.
+    is_site_known : bool
+        Whether the base file has the site.
+    rules : Mapping of str to Bounds
+        Keys that overlays may change.
+    targets : tuple of Section or None
+        Sections of the base file to which the overlay refers.
+    findings : tuple of Finding
+        Defects that show beside the base file.
+    """
+
+    overlay: Overlay
+    is_site_known: bool
+    rules: Mapping[str, Bounds]
+    targets: tuple[Section | None, ...]
+    findings: tuple[Finding, ...]
+
+
+def check_overlay(
+    overlay: Overlay, *, base: BaseFile, previous: CheckedOverlay | None
+) -> CheckedOverlay:
     """Check an overlay against the base file.
 
     Parameters
@@ -105,12 +139,44 @@
         Overlay of one site.
     base : BaseFile
         Base file of the same version.
+    previous : CheckedOverlay or None
+        Earlier check, which is returned when nothing it depends on changed.
 
     Returns
     -------
-    list of Finding
-        Unknown sites and sections, and keys that go beyond what is allowed.
+    CheckedOverlay
+        Findings about unknown sites and sections, and about keys that go
+        beyond what is allowed.
     """
+    is_site_known = overlay.site in base.sites
+    targets = list_targets(overlay, base)
+    if (
+        previous is not None
+        and previous.overlay is overlay
+        and previous.is_site_known == is_site_known
+        and previous.rules == base.overlay_rules
+        and previous.targets == targets
+    ):
+        return previous
+    return CheckedOverlay(
+        overlay=overlay,
+        is_site_known=is_site_known,
+        rules=base.overlay_rules,
+        targets=targets,
+        findings=tuple(find_excesses(overlay, base)),
+    )
+
+
+def list_targets(overlay: Overlay, base: BaseFile) -> tuple[Section | None, ...]:
+    """Return the sections of the base file to which an overlay refers."""
+    located = [
+        base.find_section(kind=kind, name=name) for kind, name in overlay.sections
+    ]
+    return tuple(None if target is None else target.section for target in located)
+
+
+def find_excesses(overlay: Overlay, base: BaseFile) -> list[Finding]:
+    """Return the findings about an overlay beside the base file."""
     findings = []
     if overlay.site not in base.sites:
         defect = Defect(
--- a/foxtailway/config/section.py
+++ b/foxtailway/config/section.py
@@ -163,12 +163,12 @@
 
 def check_header(text: str, headers: list[str]) -> list[Finding]:
     """Find headers that are indented or followed by other text."""
+    expected = f"[{headers[0]}]" if headers else None
     findings = []
-    for offset, line in enumerate(text.split("\n"), start=1):
-        stripped = line.strip()
-        is_first = offset == 1 and stripped == f"[{headers[0]}]" if headers else False
-        if stripped.startswith("[") and not is_first:
-            findings.append(make_form_finding(offset, "this is no proper header"))
+    for number, line in enumerate(text.split("\n"), start=1):
+        is_first = number == 1 and line.rstrip() == expected
+        if line.lstrip().startswith("[") and not is_first:
+            findings.append(make_form_finding(number, "this is no proper header"))
     return findings
 
 
--- a/foxtailway/config/sectioned_document.py
+++ b/foxtailway/config/sectioned_document.py
@@ -51,8 +51,10 @@
         Digest of the content.
     sections : tuple of LocatedSection
         Sections in the order of the document.
-    by_text : Mapping of str to Section
+    by_text : Mapping of str to LocatedSection
         Sections by their text, for reuse with the next version.
+    fresh : tuple of LocatedSection
+        Sections that the earlier version did not hold.
     findings : tuple of Finding
         Defects of the document and of its single sections.
     """
@@ -60,7 +62,8 @@
     key: str
     digest: bytes
     sections: tuple[LocatedSection, ...]
-    by_text: Mapping[str, Section]
+    by_text: Mapping[str, LocatedSection]
+    fresh: tuple[LocatedSection, ...]
     findings: tuple[Finding, ...]
 
     def make_finding(
@@ -145,30 +148,38 @@
             digest=document.digest,
             sections=(),
             by_text={},
+            fresh=(),
             findings=(decoded.error,),
         )
     known = {} if previous is None else previous.by_text
-    by_text: dict[str, Section] = {}
+    by_text: dict[str, LocatedSection] = {}
     sections: list[LocatedSection] = []
+    fresh: list[LocatedSection] = []
     findings: list[Finding] = []
     n_lines = 0
     for text in split_sections(decoded.ok):
         if len(sections) >= MAX_SECTIONS or len(findings) >= MAX_FINDINGS:
             findings.append(make_limit_finding(document, n_lines + 1))
             break
-        section = known.get(text) or by_text.get(text) or read_section(text)
-        by_text[text] = section
-        sections.append(LocatedSection(section=section, n_lines_ahead=n_lines))
-        if section.findings:
+        located = known.get(text) or by_text.get(text)
+        if located is None:
+            located = LocatedSection(section=read_section(text), n_lines_ahead=n_lines)
+            fresh.append(located)
+        elif located.n_lines_ahead != n_lines:
+            located = LocatedSection(section=located.section, n_lines_ahead=n_lines)
+        by_text[text] = located
+        sections.append(located)
+        if located.section.findings:
             findings += shift_findings(
-                section.findings, source=document.key, n_lines=n_lines
+                located.section.findings, source=document.key, n_lines=n_lines
             )
-        n_lines += section.n_lines
+        n_lines += located.section.n_lines
     return SectionedDocument(
         key=document.key,
         digest=document.digest,
         sections=tuple(sections),
         by_text=by_text,
+        fresh=tuple(fresh),
         findings=tuple(findings),
     )
 
--- a/foxtailway/config/tests/test_findings.py
+++ b/foxtailway/config/tests/test_findings.py
@@ -1,7 +1,7 @@
 import unittest
 from dataclasses import dataclass
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from foxtailway.config.configuration import read_configuration
@@ -197,6 +197,7 @@
         found = list_findings({**CONFIG, "base": BASE + services})
         self.assertEqual(len(found), 1)
 
+    @settings(max_examples=60, deadline=None)
     @given(
         st.integers(0, len(BASE)),
         st.integers(0, 40),
--- a/foxtailway/config/typed_section.py
+++ b/foxtailway/config/typed_section.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from functools import cache
-from typing import Any
+from typing import Any, NamedTuple
 
 from foxtailway.config.bounds import Bounds, read_bounds
 from foxtailway.config.finding import Defect, Finding
@@ -12,7 +12,7 @@
 from foxtailway.config.section import RawSection, parse_section, show_key
 from foxtailway.config.value_kind import NameKind
 
-__all__ = ["Entry", "Section", "read_base_section", "read_overlay_section"]
+__all__ = ["Entry", "Section", "Target", "read_base_section", "read_overlay_section"]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -34,6 +34,13 @@
     line: int
 
 
+class Target(NamedTuple):
+    """Name a path prefix and a method that a route accepts."""
+
+    path_prefix: str
+    method: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Section:
     """Hold one checked section.
@@ -50,6 +57,8 @@
         Lines of the section.
     entries : Mapping of str to Entry
         Valid values by key.
+    targets : tuple of Target
+        What a route accepts; empty for other kinds.
     findings : tuple of Finding
         Defects, with lines counted in the section.
     """
@@ -59,6 +68,7 @@
     name: str
     n_lines: int
     entries: Mapping[str, Entry]
+    targets: tuple[Target, ...]
     findings: tuple[Finding, ...]
 
     @property
@@ -101,10 +111,20 @@
             name=name,
             n_lines=text.count("\n") + 1,
             entries=self.entries,
+            targets=list_targets(self.entries),
             findings=(*self.raw.findings, *self.findings),
         )
 
 
+def list_targets(entries: Mapping[str, Entry]) -> tuple[Target, ...]:
+    """Return what a route accepts, as far as it is known."""
+    if "path" not in entries or "methods" not in entries:
+        return ()
+    path_prefix = entries["path"].value
+    methods = sorted(entries["methods"].value)
+    return tuple(Target(path_prefix=path_prefix, method=name) for name in methods)
+
+
 def read_base_section(text: str) -> Section:
     """Parse and check one section of the base file.
 
