--- a/foxtailway/config/host_list.py
+++ b/foxtailway/config/host_list.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from ipaddress import ip_address
+from socket import AF_INET, AF_INET6, inet_pton
 
 import orjson
 from expression import Error, Ok, Result
@@ -17,6 +17,7 @@
 N_FIELDS = 5
 MAX_PORT = 65535
 MAX_NAME_LENGTH = 63
+STATES = {state.value: state for state in HostState}
 ALLOWED_LINE = '["host_id","address",mesh_port,"service","live" or "leaving"]'
 
 
@@ -134,12 +135,11 @@
     if not isinstance(fields, list) or len(fields) != N_FIELDS:
         return None
     host_id, address, mesh_port, service, state = fields
-    texts = (host_id, address, service, state)
-    if not all(isinstance(text, str) and is_short(text) for text in texts):
+    if not (is_name(host_id) and is_name(service) and is_address(address)):
         return None
     if type(mesh_port) is not int or not 0 < mesh_port <= MAX_PORT:
         return None
-    if not is_address(address) or state not in ("live", "leaving"):
+    if not isinstance(state, str) or state not in STATES:
         return None
     return Host(
         host_id=host_id,
@@ -147,20 +147,27 @@
         mesh_port=mesh_port,
         zone=zone,
         service=service,
-        state=HostState(state),
+        state=STATES[state],
     )
 
 
-def is_short(text: str) -> bool:
-    """Return whether a text can be an identifier."""
-    return 0 < len(text) <= MAX_NAME_LENGTH and text.isprintable()
+def is_name(value: object) -> bool:
+    """Return whether a field can be an identifier."""
+    return (
+        isinstance(value, str)
+        and 0 < len(value) <= MAX_NAME_LENGTH
+        and value.isascii()
+        and value.isprintable()
+    )
 
 
-def is_address(text: str) -> bool:
-    """Return whether a text is an IP address."""
+def is_address(value: object) -> bool:
+    """Return whether a field is an IP address."""
+    if not isinstance(value, str):
+        return False
     try:
-        ip_address(text)
-    except ValueError:
+        inet_pton(AF_INET6 if ":" in value else AF_INET, value)
+    except (OSError, ValueError):
         return False
     return True
 
