Split reading of sections from their data and keep one parser for a document

Cause: a configparser object for each section took a quarter of the first compilation, and typed_section held data and checks. Change: SectionReader with one reader for the base file and one for overlays; section_parser keeps one parser and resets it.

--- a/foxtailway/config/base_file.py
+++ b/foxtailway/config/base_file.py
@@ -6,12 +6,13 @@
 from foxtailway.config.bounds import Bounds
 from foxtailway.config.finding import Defect, Finding
 from foxtailway.config.schema import OVERLAYS_KIND
+from foxtailway.config.section_reader import BaseSectionReader
 from foxtailway.config.sectioned_document import (
     LocatedSection,
     SectionedDocument,
     read_document,
 )
-from foxtailway.config.typed_section import Target, read_base_section
+from foxtailway.config.typed_section import Target
 from foxtailway.model.bundle import Document
 
 __all__ = ["BaseFile", "read_base_file"]
@@ -69,7 +70,7 @@
     """
     sectioned = read_document(
         document,
-        read_section=read_base_section,
+        reader_type=BaseSectionReader,
         previous=None if previous is None else previous.document,
     )
     if previous is not None and sectioned is previous.document:
--- a/foxtailway/config/generation.py
+++ b/foxtailway/config/generation.py
@@ -3,8 +3,8 @@
 from expression import Error, Ok, Result
 
 from foxtailway.common.failure import Failure, FailureKind, Step
-from foxtailway.config.section import split_sections
-from foxtailway.config.typed_section import read_base_section
+from foxtailway.config.section_parser import split_sections
+from foxtailway.config.section_reader import BaseSectionReader
 from foxtailway.model.bundle import BASE_KEY
 
 __all__ = ["read_generation"]
@@ -32,7 +32,7 @@
     for part in split_sections(text):
         if not part.startswith("[mesh]"):
             continue
-        entry = read_base_section(part).entries.get("generation")
+        entry = BaseSectionReader().read(part).entries.get("generation")
         if entry is not None:
             return Ok(entry.value)
     return Error(
--- a/foxtailway/config/overlay.py
+++ b/foxtailway/config/overlay.py
@@ -8,12 +8,13 @@
 from foxtailway.config.bounds import Bounds
 from foxtailway.config.finding import Defect, Finding
 from foxtailway.config.relation import find_contradictions
+from foxtailway.config.section_reader import OverlaySectionReader
 from foxtailway.config.sectioned_document import (
     LocatedSection,
     SectionedDocument,
     read_document,
 )
-from foxtailway.config.typed_section import Entry, Section, read_overlay_section
+from foxtailway.config.typed_section import Entry, Section
 from foxtailway.config.value_kind import quote
 from foxtailway.model.bundle import Document
 
@@ -67,7 +68,7 @@
     """
     sectioned = read_document(
         document,
-        read_section=read_overlay_section,
+        reader_type=OverlaySectionReader,
         previous=None if previous is None else previous.document,
     )
     if previous is not None and sectioned is previous.document:
--- a/foxtailway/config/section.py
+++ b/foxtailway/config/section_parser.py
@@ -8,7 +8,7 @@
 from foxtailway.config.finding import Defect, Finding
 from foxtailway.config.value_kind import quote
 
-__all__ = ["RawEntry", "RawSection", "parse_section", "show_key", "split_sections"]
+__all__ = ["RawEntry", "RawSection", "SectionParser", "show_key", "split_sections"]
 
 HEADER_BREAK = "\n["
 MAX_HEADER_LENGTH = 80
@@ -73,6 +73,13 @@
         self.key_lines.append((optionstr, self.n_lines_read))
         return optionstr
 
+    def reset(self) -> None:
+        """Forget all sections and lines."""
+        for header in self.sections():
+            self.remove_section(header)
+        self.n_lines_read = 0
+        self.key_lines = []
+
     def count_lines(self, text: str) -> Iterator[str]:
         """Yield the lines of `text` while counting them."""
         for line in text.split("\n"):
@@ -95,46 +102,62 @@
     return [first[1:], *sections] if first else sections
 
 
-def parse_section(text: str) -> RawSection:
-    """Parse the text of one section.
-
-    Parameters
-    ----------
-    text : str
-        One part returned by `split_sections`.
+class SectionParser:
+    """Parse one section after the other with the standard library's parser.
 
-    Returns
-    -------
-    RawSection
-        Section with an empty header when the text holds none.
+    Its strict mode ends at the first duplicate, so duplicates are found from
+    the keys that are recorded while it reads.
     """
-    if text.count("\n") > MAX_SECTION_LINES:
-        problem = f"the section has more than {MAX_SECTION_LINES} lines"
+
+    def __init__(self) -> None:
+        self.parser = LocatingParser()
+
+    def parse(self, text: str) -> RawSection:
+        """Parse the text of one section.
+
+        Parameters
+        ----------
+        text : str
+            One part returned by `split_sections`.
+
+        Returns
+        -------
+        RawSection
+            Section with an empty header when the text holds none.
+        """
+        if text.count("\n") > MAX_SECTION_LINES:
+            problem = f"the section has more than {MAX_SECTION_LINES} lines"
+            return RawSection(
+                header="", entries=(), findings=(make_form_finding(1, problem),)
+            )
+        self.parser.reset()
+        findings = self.read_lines(text)
+        headers = self.parser.sections()
+        findings += check_header(text, headers)
+        header = headers[0] if headers else ""
+        shown_header = show_header(header)
+        findings += find_duplicates(self.parser.key_lines, shown_header)
         return RawSection(
-            header="", entries=(), findings=(make_form_finding(1, problem),)
+            header=shown_header,
+            entries=collect_entries(self.parser, header),
+            findings=tuple(findings),
         )
-    parser = LocatingParser()
-    findings: list[Finding] = []
-    try:
-        parser.read_file(parser.count_lines(text))
-    except MissingSectionHeaderError as error:
-        if not text.startswith("["):
+
+    def read_lines(self, text: str) -> list[Finding]:
+        """Feed the lines to the parser and return defects of form."""
+        try:
+            self.parser.read_file(self.parser.count_lines(text))
+        except MissingSectionHeaderError as error:
+            if text.startswith("["):
+                return []
             problem = "the line belongs to no section"
-            findings.append(make_form_finding(error.lineno, problem))
-    except ParsingError as error:
-        for line, _ in error.errors:
-            findings.append(make_form_finding(line, "the line is no 'key = value'"))
-    except ConfigParserError:
-        findings.append(make_form_finding(1, "the section can't be parsed"))
-    header = parser.sections()[0] if parser.sections() else ""
-    findings.extend(check_header(text, parser.sections()))
-    shown_header = show_header(header)
-    findings.extend(find_duplicates(parser.key_lines, shown_header))
-    return RawSection(
-        header=shown_header,
-        entries=collect_entries(parser, header),
-        findings=tuple(findings),
-    )
+            return [make_form_finding(error.lineno, problem)]
+        except ParsingError as error:
+            problem = "the line is no 'key = value'"
+            return [make_form_finding(line, problem) for line, _ in error.errors]
+        except ConfigParserError:
+            return [make_form_finding(1, "the section can't be parsed")]
+        return []
 
 
 def show_header(header: str) -> str:
--- a/foxtailway/config/sectioned_document.py
+++ b/foxtailway/config/sectioned_document.py
@@ -1,12 +1,13 @@
 """Documents split into sections, with reuse of sections already read."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from expression import Error, Ok, Result
 
 from foxtailway.config.finding import Defect, Finding, shift_findings
-from foxtailway.config.section import split_sections
+from foxtailway.config.section_parser import split_sections
+from foxtailway.config.section_reader import SectionReader
 from foxtailway.config.typed_section import Section
 from foxtailway.model.bundle import Document
 
@@ -120,7 +121,7 @@
 def read_document(
     document: Document,
     *,
-    read_section: Callable[[str], Section],
+    reader_type: type[SectionReader],
     previous: SectionedDocument | None,
 ) -> SectionedDocument:
     """Split a document and read the sections that are new.
@@ -129,8 +130,8 @@
     ----------
     document : Document
         Base file or overlay.
-    read_section : callable
-        Reader of one section's text.
+    reader_type : type of SectionReader
+        Reader of the document's sections.
     previous : SectionedDocument or None
         Earlier version, whose unchanged sections are reused.
 
@@ -151,6 +152,7 @@
             fresh=(),
             findings=(decoded.error,),
         )
+    reader = reader_type()
     known = {} if previous is None else previous.by_text
     by_text: dict[str, LocatedSection] = {}
     sections: list[LocatedSection] = []
@@ -163,7 +165,7 @@
             break
         located = known.get(text) or by_text.get(text)
         if located is None:
-            located = LocatedSection(section=read_section(text), n_lines_ahead=n_lines)
+            located = LocatedSection(section=reader.read(text), n_lines_ahead=n_lines)
             fresh.append(located)
         elif located.n_lines_ahead != n_lines:
             located = LocatedSection(section=located.section, n_lines_ahead=n_lines)
--- a/foxtailway/config/zones.py
+++ b/foxtailway/config/zones.py
@@ -4,8 +4,8 @@
 from types import MappingProxyType
 
 from foxtailway.config.base_file import BaseFile
-from foxtailway.config.section import split_sections
-from foxtailway.config.typed_section import read_base_section
+from foxtailway.config.section_parser import split_sections
+from foxtailway.config.section_reader import BaseSectionReader
 from foxtailway.model.bundle import Document
 
 __all__ = ["list_zone_regions", "read_zone_regions"]
@@ -35,11 +35,12 @@
     Mapping of str to str
         Region by availability zone.
     """
+    reader = BaseSectionReader()
     regions: dict[str, str] = {}
     for text in split_sections(document.content.decode(errors="replace")):
         if not text.startswith(SITE_HEADER_START):
             continue
-        section = read_base_section(text)
+        section = reader.read(text)
         if section.kind and "region" in section.entries:
             regions.setdefault(section.name, section.entries["region"].value)
     return MappingProxyType(regions)
