--- a/foxtailway/config/base_file.py
+++ b/foxtailway/config/base_file.py
@@ -109,14 +109,7 @@
             continue
         first = indexes[section.kind].setdefault(section.name, located)
         if first is not located:
-            findings.append(
-                document.make_finding(
-                    located,
-                    key="",
-                    problem="the section is a duplicate",
-                    allowed="one such section",
-                )
-            )
+            findings.append(document.make_duplicate_finding(located))
     return findings
 
 
--- a/foxtailway/config/configuration.py
+++ b/foxtailway/config/configuration.py
@@ -5,12 +5,8 @@
 
 from foxtailway.config.base_file import BaseFile, read_base_file
 from foxtailway.config.finding import Defect, Finding, sort_findings
-from foxtailway.config.overlay import (
-    CheckedOverlay,
-    Overlay,
-    check_overlay,
-    read_overlay,
-)
+from foxtailway.config.overlay import Overlay, read_overlay
+from foxtailway.config.overlay_check import CheckedOverlay, check_overlay
 from foxtailway.model.bundle import (
     BASE_KEY,
     OVERLAY_PREFIX,
--- a/foxtailway/config/sectioned_document.py
+++ b/foxtailway/config/sectioned_document.py
@@ -79,6 +79,15 @@
             defect=Defect(problem=problem, allowed=allowed),
         )
 
+    def make_duplicate_finding(self, located: LocatedSection) -> Finding:
+        """Build the finding about a header that stands in the document before."""
+        return self.make_finding(
+            located,
+            key="",
+            problem="the section is a duplicate",
+            allowed="one such section",
+        )
+
 
 def decode_document(document: Document) -> Result[str, Finding]:
     """Decode a document, or say why it can't be read.
