Prove the control plane under failures of real processes

Cause: the distribution was proved only in one process with a fake network. At the end of each test the audit trails of all processes, ended ones included, are compared with a model of the store: each applied version is newer than the one before it and is a whole, valid state. Fault found: a wrong mesh, a wrong protocol version, an unexpected message and garbage after a hello were cut but not counted in refused_peers (4 of 13 kinds of intruders failed the test); the observer counts them now. Ruled out: a bound of one compressed copy for the bytes of a healed link. The test bounds the bytes by what naive pollers cost.

--- a/foxtailway/node/observer.py
+++ b/foxtailway/node/observer.py
@@ -3,7 +3,7 @@
 from expression import Result
 from logbook import Logger
 
-from foxtailway.common.failure import Failure, FailureKind
+from foxtailway.common.failure import Failure, FailureKind, Step
 from foxtailway.distribution.observer import DistributionObserver
 from foxtailway.model.bundle import Bundle, BundleKind
 from foxtailway.observe.audit import AuditAction, AuditTrail
@@ -20,6 +20,18 @@
     FailureKind.STALE_VERSION: AuditAction.REFUSED_OLDER,
     FailureKind.VERSION_CONFLICT: AuditAction.REFUSED_CONFLICT,
 }
+PEER_STEPS = frozenset(
+    {Step.HELLO, Step.DECODE, Step.RECEIVE, Step.TRANSFER, Step.VERIFY}
+)
+PEER_FAULTS = frozenset(
+    {
+        FailureKind.INVALID,
+        FailureKind.TOO_LARGE,
+        FailureKind.WRONG_MESH,
+        FailureKind.WRONG_PROTOCOL,
+        FailureKind.DIGEST_MISMATCH,
+    }
+)
 
 
 class NodeObserver(CallObserver, DistributionObserver):
@@ -87,6 +99,8 @@
 
     def on_failure(self, failure: Failure) -> None:
         """Note a failure with a peer or the platform."""
+        if failure.step in PEER_STEPS and failure.kind in PEER_FAULTS:
+            self.n_refused_peers += 1
         action = REFUSED_ACTIONS.get(failure.kind)
         if action is not None:
             self.trail.record(
--- /dev/null
+++ b/foxtailway/node/tests/test_control_intruders.py
@@ -0,0 +1,111 @@
+import asyncio
+from contextlib import closing
+from random import Random
+from socket import socket
+
+import msgpack
+
+from foxtailway.distribution.message import (
+    PROTOCOL_VERSION,
+    Beacon,
+    ControlHello,
+    Heartbeat,
+    Purpose,
+)
+from foxtailway.node.daemon import make_codec
+from foxtailway.node.tests.control_case import TARGET_S, ControlFailureCase
+from foxtailway.testing.deployment import MESH_PORT
+
+SEED = 7
+N_RANDOM_BYTES = 65_536
+READ_BYTES = 65_536
+HUGE_BIN_HEADER = b"\x92\x00\xc6\xff\xff\xff\xff"
+HUGE_ARRAY_HEADER = b"\xdd\xff\xff\xff\xff"
+DEEP_ARRAYS = b"\x91" * 100_000
+
+
+class IntruderTest(ControlFailureCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.target = self.hosts[0]
+        self.codec = make_codec()
+
+    def make_hello(
+        self, *, mesh: str = "failures", protocol_version: int = PROTOCOL_VERSION
+    ) -> bytes:
+        hello = ControlHello(
+            protocol_version=protocol_version,
+            mesh=mesh,
+            host_id="intruder",
+            zone=self.target.zone,
+            purpose=Purpose.FEED,
+            is_relay=False,
+            held=(),
+            staged=(),
+        )
+        return self.codec.encode(hello)
+
+    def list_attacks(self) -> dict[str, bytes]:
+        """Return what intruders send after they connected."""
+        heartbeat = Heartbeat(beacon=Beacon(age_ms=None, n_hops=0))
+        return {
+            "random bytes": Random(SEED).randbytes(N_RANDOM_BYTES),
+            "HTTP": b"GET / HTTP/1.1\r\nHost: mesh\r\n\r\n",
+            "huge byte string": HUGE_BIN_HEADER + b"x" * READ_BYTES,
+            "huge array": HUGE_ARRAY_HEADER + b"x" * READ_BYTES,
+            "deep arrays": DEEP_ARRAYS,
+            "unknown tag": msgpack.packb([99, "x"]),
+            "wrong field": msgpack.packb([0, "one", 2, 3]),
+            "no hello first": self.codec.encode(heartbeat),
+            "wrong mesh": self.make_hello(mesh="other"),
+            "wrong protocol": self.make_hello(protocol_version=99),
+            "silence": b"",
+            "random bytes after a hello": self.make_hello() + b"\xc1" * READ_BYTES,
+            "second hello": self.make_hello() * 2,
+        }
+
+    async def attack(self, payload: bytes):
+        """Send a payload and return once the node has closed the stream."""
+        loop = asyncio.get_running_loop()
+        with closing(socket()) as intruder:
+            intruder.setblocking(False)
+            await loop.sock_connect(intruder, (self.target.address, MESH_PORT))
+            async with asyncio.timeout(TARGET_S):
+                try:
+                    await loop.sock_sendall(intruder, payload)
+                    while await loop.sock_recv(intruder, READ_BYTES):
+                        pass
+                except ConnectionError:
+                    return
+
+    async def count_refused(self) -> dict[str, int]:
+        views = await self.fleet.view_all()
+        return {
+            view.host.host_id: view.status["counters"]["refused_peers"]
+            for view in views
+        }
+
+    async def test_intruders_are_cut_and_counted(self):
+        for name, payload in self.list_attacks().items():
+            with self.subTest(name):
+                before = await self.count_refused()
+                await self.attack(payload)
+                expected = {**before, self.target.host_id: 1}
+                expected[self.target.host_id] += before[self.target.host_id]
+                self.assertEqual(await self.count_refused(), expected)
+        await self.assert_ready(self.hosts)
+        await self.edit("3s")
+        await self.wait_newest()
+        await self.assert_sound()
+
+    async def test_intruders_at_once(self):
+        """Many silent and noisy streams at a time disturb nothing else."""
+        payloads = list(self.list_attacks().values()) * 8
+        attacks = asyncio.gather(*map(self.attack, payloads))
+        await self.edit("3s")
+        await self.wait_newest()
+        await self.assert_ready(self.hosts)
+        await attacks
+        await self.edit("4s")
+        await self.wait_newest()
+        await self.assert_sound()
--- /dev/null
+++ b/foxtailway/node/tests/test_control_partitions.py
@@ -0,0 +1,75 @@
+import asyncio
+from collections.abc import Iterable
+
+from foxtailway.node.tests.control_case import (
+    REMOTE_REGION,
+    SILENCE_S,
+    STALE_S,
+    STORE_REGION,
+    ControlFailureCase,
+)
+from foxtailway.testing.deployment import LINK_NAIVE_PORT, HostPlan
+
+N_CUT_EDITS = 3
+
+
+class PartitionTest(ControlFailureCase):
+    has_upstreams = True
+    n_routes = 400
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        deployment = self.fleet.deployment
+        self.near = deployment.list_region(STORE_REGION)
+        self.remote = deployment.list_region(REMOTE_REGION)
+
+    async def test_cut_link(self):
+        await self.part_and_heal("cut")
+
+    async def test_silent_link(self):
+        await self.part_and_heal("silent")
+
+    async def part_and_heal(self, mode: str):
+        """Edit during a partition; the newest version wins after it."""
+        views = await self.view(self.remote)
+        known = {view.status["config_version"] for view in views}
+        await self.fleet.set_link(mode)
+        for index in range(N_CUT_EDITS):
+            await self.edit(f"{3 + index}s")
+            await self.wait_newest(self.near)
+        await asyncio.sleep(STALE_S + SILENCE_S)
+        views = await self.view(self.remote)
+        self.assertEqual({view.status["config_version"] for view in views}, known)
+        await self.assert_ready(self.hosts)
+        await self.assert_calls(self.remote)
+        before = await self.count_link_bytes()
+        await self.fleet.set_link("open")
+        await self.wait_newest()
+        await asyncio.sleep(SILENCE_S)
+        n_bytes = await self.count_link_bytes() - before
+        self.assertLess(n_bytes, len(self.remote) * await self.count_copy_bytes())
+        await self.assert_sound()
+
+    async def count_copy_bytes(self) -> int:
+        """Return the billed bytes of one whole copy read over the link."""
+        address = self.fleet.deployment.platform_address
+        url = f"http://{address}:{LINK_NAIVE_PORT}"
+        before = await self.fleet.count_link_bytes()
+        for key in self.sample.list_values():
+            await self.fleet.client.fetch(f"{url}/v1/values/{key}")
+        after = await self.fleet.count_link_bytes()
+        return after["naive"] - before["naive"]
+
+    async def assert_calls(self, hosts: Iterable[HostPlan]):
+        """Assert that calls of every service through every host succeed."""
+        urls = [
+            f"{host.client_url}/{service}/0"
+            for host in hosts
+            for service in self.services
+        ]
+        client = self.fleet.client
+        responses = await asyncio.gather(
+            *(client.fetch(url, raise_error=False) for url in urls)
+        )
+        codes = {response.effective_url: response.code for response in responses}
+        self.assertEqual(codes, dict.fromkeys(urls, 200))
--- /dev/null
+++ b/foxtailway/node/tests/test_control_platform.py
@@ -0,0 +1,152 @@
+import asyncio
+
+from foxtailway.node.tests.control_case import (
+    SILENCE_S,
+    STALE_S,
+    TARGET_S,
+    ControlFailureCase,
+)
+from foxtailway.testing.trail import rank_version
+
+N_CROSSING_EDITS = 8
+BAD_VALUE = "90s"
+
+
+class PlatformFailureTest(ControlFailureCase):
+    async def restart_node(self, host):
+        """Kill a node, start it again and wait until it is ready."""
+        await self.keep_trails([host])
+        self.kill([host])
+        self.restart([host])
+
+        async def is_ready() -> bool:
+            return (await self.fleet.view(host)).is_ready
+
+        await self.fleet.wait_until(is_ready, timeout_s=TARGET_S, what="restart")
+        await self.wait_newest([host])
+
+    async def wait_platform_calls(self, n_calls: int):
+        """Wait until the platform was asked that often."""
+        before = await self.count_platform_calls()
+
+        async def is_asked() -> bool:
+            return await self.count_platform_calls() >= before + n_calls
+
+        await self.fleet.wait_until(is_asked, timeout_s=TARGET_S, what="calls")
+
+    async def list_first_versions(self, host):
+        """Return the first version that a process applied of each kind."""
+        trail = await self.fleet.read_audit(host)
+        applied = [entry for entry in trail if entry["action"] == "applied"]
+        return {entry["kind"]: entry["version"] for entry in reversed(applied)}
+
+    async def test_outage(self):
+        """During an outage nodes stay ready, and restarted ones ask peers."""
+        await self.edit("3s")
+        await self.wait_newest()
+        await self.fleet.set_faults(is_down=True)
+        await asyncio.sleep(STALE_S + SILENCE_S)
+        await self.assert_ready(self.hosts)
+        readers = await self.list_role("reader")
+        for host in (readers[0], self.hosts[-1]):
+            await self.restart_node(host)
+        await self.fleet.set_faults(is_down=False)
+        await self.edit("4s")
+        await self.wait_newest()
+        await self.assert_sound()
+
+    async def test_stale_answers(self):
+        """A platform that answers from an older state changes nothing."""
+        old_revision = await self.edit("3s")
+        await self.wait_newest()
+        await self.edit("4s")
+        await self.wait_newest()
+        await self.fleet.set_faults(stale_revision=old_revision)
+        readers = await self.list_role("reader")
+        for host in (*readers, self.hosts[-1]):
+            await self.restart_node(host)
+            first = await self.list_first_versions(host)
+            self.assertGreater(rank_version(first["config"])[1], old_revision)
+        await self.wait_platform_calls(len(readers))
+        await self.wait_newest()
+        await self.assert_ready(self.hosts)
+        await self.fleet.set_faults(stale_revision=None)
+        await self.edit("5s")
+        await self.wait_newest()
+        await self.assert_sound()
+
+    async def test_restored_store(self):
+        """A restored store changes nothing until the generation is raised."""
+        old_revision = await self.edit("3s")
+        await self.wait_newest()
+        for value in ("4s", "5s", "6s"):
+            await self.edit(value)
+        await self.wait_newest()
+        versions = await self.list_config_versions()
+        await self.fleet.set_faults(restore_revision=old_revision)
+        readers = await self.list_role("reader")
+        for host in (readers[0], self.hosts[-1]):
+            await self.restart_node(host)
+        self.states.restore(old_revision)
+        await self.edit("7s")
+        await self.wait_platform_calls(2 * len(readers))
+        self.assertEqual(await self.list_config_versions(), versions)
+        await self.assert_ready(self.hosts)
+        await self.publish("base", self.sample.render_base(generation=2))
+        await self.wait_newest()
+        await self.edit("8s")
+        await self.wait_newest()
+        await self.assert_sound()
+
+    async def list_config_versions(self):
+        views = await self.fleet.view_all()
+        return {view.status["config_version"] for view in views}
+
+
+class EditTest(ControlFailureCase):
+    async def test_crossing_edits(self):
+        """Edits by two operators at once end in one state everywhere."""
+
+        async def edit_base():
+            for index in range(N_CROSSING_EDITS):
+                content = self.sample.render_base(max_hops=17 + index)
+                await self.publish("base", content)
+
+        async def edit_overlays():
+            zones = tuple(self.sample.zone_regions)
+            for index in range(N_CROSSING_EDITS):
+                content = self.sample.render_overlay(timeout=f"{3 + index}s")
+                await self.publish(f"overlay/{zones[index % len(zones)]}", content)
+
+        await asyncio.gather(edit_base(), edit_overlays())
+        await self.wait_newest()
+        await self.assert_sound()
+
+    async def test_bad_version(self):
+        """An invalid version between two valid ones is never in force."""
+        await self.edit("3s")
+        await self.wait_newest()
+        bad_revision = await self.edit(BAD_VALUE, is_valid=False)
+        await self.wait_rejected(bad_revision)
+        await self.assert_ready(self.hosts)
+        await self.edit("4s")
+        await self.wait_newest()
+        await self.edit("5s")
+        await self.edit(BAD_VALUE, is_valid=False)
+        await self.edit("6s")
+        await self.wait_newest()
+        await self.assert_sound()
+
+    async def wait_rejected(self, revision: int):
+        """Wait until every reader has judged and rejected a revision."""
+        readers = await self.list_role("reader")
+
+        async def is_rejected() -> bool:
+            views = await self.view(readers)
+            rejections = [view.status["last_rejection"] for view in views]
+            return all(
+                rejection and rank_version(rejection["version"])[1] == revision
+                for rejection in rejections
+            )
+
+        await self.fleet.wait_until(is_rejected, timeout_s=TARGET_S, what="rejection")
--- /dev/null
+++ b/foxtailway/node/tests/test_control_processes.py
@@ -0,0 +1,40 @@
+import asyncio
+
+from foxtailway.node.tests.control_case import SILENCE_S, ControlFailureCase
+
+N_ROUNDS = 2
+ROUND_DELAY_S = 0.02
+
+
+class ProcessFailureTest(ControlFailureCase):
+    async def test_killed_readers_and_parent(self):
+        """Kill every reader and a remote parent while an edit is on its way."""
+        for index in range(N_ROUNDS):
+            readers = await self.list_role("reader")
+            remote = [host for host in self.hosts if host.region == "south"]
+            parents = await self.find_parents(remote)
+            killed = readers + parents[:1]
+            self.assertGreaterEqual(len(killed), 3)
+            await self.keep_trails(killed)
+            await self.edit(f"{3 + index}s")
+            await asyncio.sleep(index * ROUND_DELAY_S)
+            self.kill(killed)
+            await self.wait_newest(self.list_others(killed))
+            self.restart(killed)
+            await self.fleet.wait_ready()
+            await self.wait_newest()
+        await self.assert_sound()
+
+    async def test_frozen_reader_and_gateway(self):
+        """Freeze a reader and the gateway in use over an edit, then wake them."""
+        readers = await self.list_role("reader")
+        remote = [host for host in self.hosts if host.region == "south"]
+        frozen = readers[:1] + (await self.find_parents(remote))[:1]
+        self.assertEqual(len(frozen), 2)
+        self.freeze(frozen)
+        await asyncio.sleep(2 * SILENCE_S)
+        await self.edit("3s")
+        await self.wait_newest(self.list_others(frozen))
+        self.wake(frozen)
+        await self.wait_newest()
+        await self.assert_sound()
--- a/foxtailway/testing/fleet.py
+++ b/foxtailway/testing/fleet.py
@@ -21,6 +21,7 @@
     HostPlan,
 )
 from foxtailway.testing.process import ProcessGroup
+from foxtailway.testing.trail import rank_version
 
 __all__ = ["Fleet", "NodeView", "rank_version"]
 
@@ -49,13 +50,6 @@
         return bool(self.status and self.status["is_ready"])
 
 
-def rank_version(text: str) -> tuple[int, int]:
-    """Return generation and revision of a printed version."""
-    numbers, _, _ = text.partition("-")
-    generation, _, revision = numbers.partition(".")
-    return int(generation), int(revision)
-
-
 class Fleet:
     """Start, watch and stop the processes of a deployment.
 
--- /dev/null
+++ b/foxtailway/testing/sample.py
@@ -0,0 +1,88 @@
+"""Configuration files of a deployment, generated at a chosen size."""
+
+from dataclasses import dataclass
+
+from foxtailway.testing.deployment import Deployment
+
+__all__ = ["SampleConfiguration"]
+
+SMALLEST_TIMEOUT_MS = 500
+TIMEOUT_STRIDE_MS = 397
+N_TIMEOUTS = 4_001
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SampleConfiguration:
+    """Render base file, overlays and secrets that fit a deployment.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Layout of the hosts.
+    n_routes : int, default=4
+        Routes for each service; the first one takes ``/SERVICE/0``.
+    """
+
+    deployment: Deployment
+    n_routes: int = 4
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Return the services of the deployment."""
+        return tuple(dict.fromkeys(host.service for host in self.deployment.hosts))
+
+    @property
+    def zone_regions(self) -> dict[str, str]:
+        """Return the region of each availability zone."""
+        return {host.zone: host.region for host in self.deployment.hosts}
+
+    def render_base(self, *, generation: int = 1, max_hops: int = 16) -> bytes:
+        """Return the base file."""
+        sections = [
+            f"[mesh]\nname = {self.deployment.mesh}\ngeneration = {generation}\n"
+            f"max_hops = {max_hops}\n",
+            "[overlays]\nroute.timeout = 100ms .. 10s\n",
+        ]
+        sections += [
+            f"[site {zone}]\nregion = {region}\n"
+            for zone, region in self.zone_regions.items()
+        ]
+        for service in self.services:
+            sections.append(self.render_service(service))
+        return "\n".join(sections).encode()
+
+    def render_service(self, service: str) -> str:
+        """Return the sections of a service and of its routes."""
+        sections = [
+            f"[service {service}]\nslots = 10\nconnections = 100\n"
+            f"secret = {service}-token\n"
+        ]
+        for index in range(self.n_routes):
+            spread = hash_position(service, index) * TIMEOUT_STRIDE_MS % N_TIMEOUTS
+            sections.append(
+                f"[route {service}-{index}]\npath = /{service}/{index}\n"
+                f"methods = GET\ncluster = {service}\nidempotent = yes\n"
+                f"timeout = {SMALLEST_TIMEOUT_MS + spread}ms\n"
+            )
+        return "\n".join(sections)
+
+    def render_overlay(self, *, timeout: str) -> bytes:
+        """Return an overlay that sets the timeout of the first route."""
+        return f"[route {self.services[0]}-0]\ntimeout = {timeout}\n".encode()
+
+    def list_values(self) -> dict[str, bytes]:
+        """Return every value that operators publish, the base file last."""
+        values = {
+            f"secret/{service}-token": f"token of {service}".encode()
+            for service in self.services
+        }
+        for zone in self.zone_regions:
+            values[f"overlay/{zone}"] = self.render_overlay(timeout="2s")
+            values[f"hosts/{zone}"] = self.deployment.render_hosts(zone)
+        values["base"] = self.render_base()
+        return values
+
+
+def hash_position(service: str, index: int) -> int:
+    """Return a number that differs between the routes of all services."""
+    return sum(service.encode()) * 31 + index
