--- a/foxtailway/config/sectioned_document.py
+++ b/foxtailway/config/sectioned_document.py
@@ -1,12 +1,13 @@
 """Documents split into sections, with reuse of sections already read."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from expression import Error, Ok, Result
 
 from foxtailway.config.finding import Defect, Finding, shift_findings
-from foxtailway.config.section import split_sections
+from foxtailway.config.section_parser import split_sections
+from foxtailway.config.section_reader import SectionReader
 from foxtailway.config.typed_section import Section
 from foxtailway.model.bundle import Document
 
@@ -51,8 +52,10 @@
         Digest of the content.
     sections : tuple of LocatedSection
         Sections in the order of the document.
-    by_text : Mapping of str to Section
+    by_text : Mapping of str to LocatedSection
         Sections by their text, for reuse with the next version.
+    fresh : tuple of LocatedSection
+        Sections that the earlier version did not hold.
     findings : tuple of Finding
         Defects of the document and of its single sections.
     """
@@ -60,7 +63,8 @@
     key: str
     digest: bytes
     sections: tuple[LocatedSection, ...]
-    by_text: Mapping[str, Section]
+    by_text: Mapping[str, LocatedSection]
+    fresh: tuple[LocatedSection, ...]
     findings: tuple[Finding, ...]
 
     def make_finding(
@@ -75,6 +79,15 @@
             defect=Defect(problem=problem, allowed=allowed),
         )
 
+    def make_duplicate_finding(self, located: LocatedSection) -> Finding:
+        """Build the finding about a header that stands in the document before."""
+        return self.make_finding(
+            located,
+            key="",
+            problem="the section is a duplicate",
+            allowed="one such section",
+        )
+
 
 def decode_document(document: Document) -> Result[str, Finding]:
     """Decode a document, or say why it can't be read.
@@ -117,7 +130,7 @@
 def read_document(
     document: Document,
     *,
-    read_section: Callable[[str], Section],
+    reader_type: type[SectionReader],
     previous: SectionedDocument | None,
 ) -> SectionedDocument:
     """Split a document and read the sections that are new.
@@ -126,8 +139,8 @@
     ----------
     document : Document
         Base file or overlay.
-    read_section : callable
-        Reader of one section's text.
+    reader_type : type of SectionReader
+        Reader of the document's sections.
     previous : SectionedDocument or None
         Earlier version, whose unchanged sections are reused.
 
@@ -145,30 +158,39 @@
             digest=document.digest,
             sections=(),
             by_text={},
+            fresh=(),
             findings=(decoded.error,),
         )
+    reader = reader_type()
     known = {} if previous is None else previous.by_text
-    by_text: dict[str, Section] = {}
+    by_text: dict[str, LocatedSection] = {}
     sections: list[LocatedSection] = []
+    fresh: list[LocatedSection] = []
     findings: list[Finding] = []
     n_lines = 0
     for text in split_sections(decoded.ok):
         if len(sections) >= MAX_SECTIONS or len(findings) >= MAX_FINDINGS:
             findings.append(make_limit_finding(document, n_lines + 1))
             break
-        section = known.get(text) or by_text.get(text) or read_section(text)
-        by_text[text] = section
-        sections.append(LocatedSection(section=section, n_lines_ahead=n_lines))
-        if section.findings:
+        located = known.get(text) or by_text.get(text)
+        if located is None:
+            located = LocatedSection(section=reader.read(text), n_lines_ahead=n_lines)
+            fresh.append(located)
+        elif located.n_lines_ahead != n_lines:
+            located = LocatedSection(section=located.section, n_lines_ahead=n_lines)
+        by_text[text] = located
+        sections.append(located)
+        if located.section.findings:
             findings += shift_findings(
-                section.findings, source=document.key, n_lines=n_lines
+                located.section.findings, source=document.key, n_lines=n_lines
             )
-        n_lines += section.n_lines
+        n_lines += located.section.n_lines
     return SectionedDocument(
         key=document.key,
         digest=document.digest,
         sections=tuple(sections),
         by_text=by_text,
+        fresh=tuple(fresh),
         findings=tuple(findings),
     )
 
--- a/foxtailway/distribution/downlink.py
+++ b/foxtailway/distribution/downlink.py
@@ -8,6 +8,7 @@
 from foxtailway.distribution.link import Link, LinkRole
 from foxtailway.distribution.message import (
     ControlHello,
+    Goodbye,
     PeerAddress,
     Purpose,
     RefusedReason,
@@ -76,9 +77,8 @@
 
     def welcome(self, link_id: int, hello: ControlHello, *, role: LinkRole) -> None:
         """Take in a stream, in place of an older one of the same child."""
-        previous = self.context.links.find_child(hello.host_id)
-        if previous is not None and role is LinkRole.CHILD:
-            self.context.close(previous)
+        if role is LinkRole.CHILD:
+            self.make_room(hello)
         now = self.context.now
         link = Link(
             link_id=link_id,
@@ -89,6 +89,10 @@
             opened_s=now,
             heard_s=now,
             sent_s=now,
+            listener=PeerAddress(
+                host_id=hello.host_id, address=hello.address, port=hello.port
+            ),
+            is_preferred=hello.is_preferred,
             staged=frozenset(hello.staged),
         )
         link.replace_known(hello.held)
@@ -101,6 +105,16 @@
         self.context.send(link, message)
         self.exchange.feed(link)
 
+    def make_room(self, hello: ControlHello) -> None:
+        """Close the child's older stream, or that of the child it displaces."""
+        previous = self.context.links.find_child(hello.host_id)
+        if previous is not None:
+            self.context.close(previous)
+        if self.admission.is_full(hello):
+            displaced = self.admission.find_displaced(hello)
+            self.context.send(displaced, Goodbye(alternates=()))
+            self.context.close(displaced)
+
     def refuse(self, link_id: int, hello: ControlHello, reason: RefusedReason) -> None:
         """Refuse a hello early and name other nodes to try."""
         if reason in REFUSAL_FAILURES:
@@ -126,10 +140,10 @@
         return longest_s * self.context.random_source.uniform(0.5, 1.0)
 
     def list_alternates(self, hello: ControlHello) -> tuple[PeerAddress, ...]:
-        """Return some hosts of the refused node's zone."""
+        """Return some hosts of the refused node's zone, or the own children."""
         if hello.mesh != self.context.settings.host.mesh:
             return ()
-        peers = self.group_peers().get(hello.zone, [])
+        peers = self.group_peers().get(hello.zone) or self.list_children()
         own_id = self.context.settings.host.host_id
         chosen = self.context.random_source.sample(
             peers, k=min(len(peers), N_ALTERNATES)
@@ -138,6 +152,11 @@
             peer for peer in chosen if peer.host_id not in (own_id, hello.host_id)
         )
 
+    def list_children(self) -> list[PeerAddress]:
+        """Return the mesh addresses of the children."""
+        children = self.context.links.list_role(LinkRole.CHILD)
+        return [link.listener for link in children if link.listener]
+
     def group_peers(self) -> dict[str, list[PeerAddress]]:
         """Return the hosts of the topology by zone, grouped on first use."""
         if self.zone_peers is None:
--- a/foxtailway/distribution/message.py
+++ b/foxtailway/distribution/message.py
@@ -107,10 +107,16 @@
         Version of the protocol spoken by the sender.
     mesh, host_id, zone : str
         Identity of the sender.
+    address : str
+        IP address of the sender's mesh listener.
+    port : int
+        TCP port of the sender's mesh listener.
     purpose : Purpose
         Whether the sender wants updates or only an answer.
     is_relay : bool
         Whether other nodes depend on the sender.
+    is_preferred : bool
+        Whether the receiver is the sender's preferred parent.
     held : tuple of HeldVersion
         Versions held by the sender.
     staged : tuple of bytes
@@ -121,8 +127,11 @@
     mesh: str
     host_id: str
     zone: str
+    address: str
+    port: int
     purpose: Purpose
     is_relay: bool
+    is_preferred: bool
     held: tuple[HeldVersion, ...]
     staged: tuple[bytes, ...]
 
--- a/foxtailway/distribution/tests/test_admission.py
+++ b/foxtailway/distribution/tests/test_admission.py
@@ -53,6 +53,11 @@
         self.assertTrue(all(peer.host_id.startswith("b-") for peer in alternates))
         self.assertGreater(refusals[-1].retry_after_s, 1.0)
 
+    def test_without_a_host_list_refusals_name_children(self) -> None:
+        refusals = [self.knock(f"leaf-{index}") for index in range(FAN_OUT + 1)]
+        names = {peer.host_id for peer in refusals[-1].alternates}
+        self.assertEqual(names, {f"leaf-{index}" for index in range(FAN_OUT)})
+
     def test_full_transfers_are_bounded_and_do_not_starve_the_others(self) -> None:
         harness = self.harness
         for index in range(3):
@@ -66,6 +71,17 @@
         harness.handle(UpdateSent(link_id=link.link_id, kind=self.config.kind))
         self.assertIsNone(self.knock("empty-x", held=()))
 
+    def test_a_child_that_belongs_here_displaces_one_that_does_not(self) -> None:
+        for index in range(FAN_OUT - 1):
+            self.knock(f"own-{index}", is_preferred=True)
+        self.knock("refugee")
+        self.assertIsNone(self.knock("own-x", is_preferred=True))
+        links = self.harness.core.links
+        self.assertIsNone(links.find_child("refugee"))
+        self.assertEqual(len(self.harness.list_sent(Goodbye)), 1)
+        refusal = self.knock("own-y", is_preferred=True)
+        self.assertIs(refusal.reason, RefusedReason.FULL)
+
     def test_a_returning_child_takes_its_own_place(self) -> None:
         for index in range(FAN_OUT):
             self.knock(f"leaf-{index}")
