Follow the renamed parser of sections

Cause: the parser of the configuration was renamed while the settings began to use it, so the settings could no longer be imported. Change: the settings use SectionParser; an unused constant of the log is gone.

--- a/foxtailway/observe/log.py
+++ b/foxtailway/observe/log.py
@@ -12,8 +12,6 @@
 
 __all__ = ["log_failure", "make_log_handler", "make_logging_bridge"]
 
-LEVEL_NAMES = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR", "CRITICAL")
-
 
 class JsonFormatter:
     """Turn log records into JSON lines.
--- a/foxtailway/settings/draft.py
+++ b/foxtailway/settings/draft.py
@@ -4,7 +4,11 @@
 from dataclasses import dataclass
 
 from foxtailway.config.finding import Defect, Finding, shift_findings
-from foxtailway.config.section import RawEntry, parse_section, split_sections
+from foxtailway.config.section_parser import (
+    RawEntry,
+    SectionParser,
+    split_sections,
+)
 
 __all__ = ["DraftSection", "SettingsDraft"]
 
@@ -47,6 +51,7 @@
         self.source = source
         self.sections: dict[str, DraftSection] = {}
         self.findings: list[Finding] = []
+        self.parser = SectionParser()
         n_lines = 0
         for part in split_sections(text):
             self.add_section(part, n_lines)
@@ -54,7 +59,7 @@
 
     def add_section(self, text: str, n_lines: int) -> None:
         """Parse one section that has `n_lines` lines ahead of it."""
-        raw = parse_section(text)
+        raw = self.parser.parse(text)
         self.findings += shift_findings(
             raw.findings, source=self.source, n_lines=n_lines
         )
--- a/foxtailway/settings/load.py
+++ b/foxtailway/settings/load.py
@@ -6,7 +6,7 @@
 from expression import Error, Ok, Result
 
 from foxtailway.config.finding import Defect, Finding, sort_findings
-from foxtailway.config.section import show_key
+from foxtailway.config.section_parser import show_key
 from foxtailway.config.sectioned_document import MAX_DOCUMENT_BYTES, decode_document
 from foxtailway.model.bundle import make_document
 from foxtailway.settings.draft import SettingsDraft
