--- a/foxtailway/routing/__init__.py
+++ b/foxtailway/routing/__init__.py
@@ -1,8 +1,8 @@
 """Routing decisions: balancing, limits, retries and idempotency."""
 
-from foxtailway.routing.admission import (
+from foxtailway.routing.admission import AdmissionQueue, make_admission_queue
+from foxtailway.routing.admission_decision import (
     AdmissionDecision,
-    AdmissionQueue,
     Admitted,
     PendingCall,
     Rejected,
@@ -23,13 +23,10 @@
 from foxtailway.routing.limit import AdaptiveLimit, FixedLimit, LimitPolicy
 from foxtailway.routing.outcome import Outcome, Refusal, RefusalReason
 from foxtailway.routing.quarantine import CrashContainment, fingerprint
-from foxtailway.routing.queue_policy import (
-    NeverShed,
+from foxtailway.routing.queue_order import (
     NewestFirstUnderOverload,
     OldestFirst,
     QueueOrder,
-    SaturationBreaker,
-    ShedPolicy,
 )
 from foxtailway.routing.rendezvous import choose_host, choose_hosts
 from foxtailway.routing.retry import RetryBudget, RetryDecision, RetryPolicy
@@ -55,7 +52,6 @@
     "LedgerVerdict",
     "LimitPolicy",
     "LoadBalancer",
-    "NeverShed",
     "NewestFirstUnderOverload",
     "ObservationKind",
     "OldestFirst",
@@ -71,14 +67,13 @@
     "RetryDecision",
     "RetryPolicy",
     "RouteTable",
-    "SaturationBreaker",
-    "ShedPolicy",
     "ZoneAwareBalancer",
     "choose_home",
     "choose_host",
     "choose_hosts",
     "digest_request_key",
     "fingerprint",
+    "make_admission_queue",
     "receive_deadline",
     "remaining_for_hop",
 ]
--- a/foxtailway/routing/admission.py
+++ b/foxtailway/routing/admission.py
@@ -3,56 +3,18 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from foxtailway.routing.limit import LimitPolicy
-from foxtailway.routing.outcome import Outcome, Refusal, RefusalReason
-from foxtailway.routing.queue_policy import (
-    NeverShed,
-    OldestFirst,
-    QueueOrder,
-    ShedPolicy,
+from foxtailway.model.snapshot import Cluster
+from foxtailway.routing.admission_decision import (
+    AdmissionDecision,
+    Admitted,
+    PendingCall,
+    Rejected,
 )
+from foxtailway.routing.limit import AdaptiveLimit, LimitPolicy
+from foxtailway.routing.outcome import Outcome, Refusal, RefusalReason
+from foxtailway.routing.queue_order import NewestFirstUnderOverload, QueueOrder
 
-__all__ = ["AdmissionDecision", "AdmissionQueue", "Admitted", "PendingCall", "Rejected"]
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PendingCall:
-    """Describe a call that asks for a slot of the upstream.
-
-    Parameters
-    ----------
-    call_id : str
-        Identifier, unique among the calls at the node.
-    caller : str
-        Service or client on whose behalf the call is made.
-    priority : int
-        Priority; 0 is served first.
-    deadline : float
-        Time at which the caller gives up, in seconds.
-    """
-
-    call_id: str
-    caller: str
-    priority: int
-    deadline: float
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Admitted:
-    """Let a call run; the slot is held until its release."""
-
-    call_id: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Rejected:
-    """Refuse a call that did not run."""
-
-    call_id: str
-    refusal: Refusal
-
-
-AdmissionDecision = Admitted | Rejected
+__all__ = ["AdmissionQueue", "make_admission_queue"]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -78,9 +40,8 @@
     queue_timeout_s : float
         Longest wait, in seconds.
     queue_order : QueueOrder, optional
-        Order of calls of the same priority and caller.
-    shed_policy : ShedPolicy, optional
-        Refusal of all calls under saturation.
+        Order of calls of the same priority and caller; by default newest
+        first under overload.
 
     Notes
     -----
@@ -100,14 +61,12 @@
         n_queued: int,
         queue_timeout_s: float,
         queue_order: QueueOrder | None = None,
-        shed_policy: ShedPolicy | None = None,
     ) -> None:
         self.host_id = host_id
         self.limit_policy = limit_policy
         self.n_queued = n_queued
         self.queue_timeout_s = queue_timeout_s
-        self.queue_order = queue_order or OldestFirst()
-        self.shed_policy = shed_policy or NeverShed()
+        self.queue_order = queue_order or NewestFirstUnderOverload()
         self.running: dict[str, PendingCall] = {}
         self.waiting: dict[str, WaitingCall] = {}
         self.n_running_by_caller: Counter[str] = Counter()
@@ -115,6 +74,13 @@
         self.n_offered = 0
         self.is_draining = False
 
+    def reconfigure(self, cluster: Cluster) -> None:
+        """Take over changed settings; waiting calls keep their time limit."""
+        self.n_queued = cluster.n_queued
+        self.queue_timeout_s = cluster.queue_timeout_s
+        if self.limit_policy.n_slots != cluster.n_slots:
+            self.limit_policy = AdaptiveLimit(n_slots=cluster.n_slots)
+
     def start_draining(self) -> None:
         """Refuse new calls from now on; waiting and running ones go on."""
         self.is_draining = True
@@ -138,11 +104,8 @@
             return (self.reject(call, RefusalReason.DRAINING, 0.0),)
         if call.deadline <= now:
             return (self.reject(call, RefusalReason.EXPIRED, 0.0),)
-        refuse_for_s = self.shed_policy.refuse_for_s(now)
-        if refuse_for_s > 0.0:
-            return (self.reject(call, RefusalReason.OVERLOADED, refuse_for_s),)
         decisions = list(self.expire(now))
-        self.queue_order.is_newest_first(n_waiting=len(self.waiting), now=now)
+        self.queue_order.observe(n_waiting=len(self.waiting), now=now)
         self.enqueue(call, now)
         decisions.extend(self.fill_slots(now))
         if len(self.waiting) > self.n_queued:
@@ -191,23 +154,12 @@
         if waiting is not None:
             self.forget_waiting(waiting)
             return ()
-        call = self.running.get(call_id)
-        if call is None:
-            return ()
-        self.forget_running(call)
-        return (*self.expire(now), *self.fill_slots(now))
+        return self.release(call_id, now, 0.0, False)
 
     def expire(self, now: float) -> tuple[AdmissionDecision, ...]:
         """Reject the calls that waited too long."""
         late = [entry for entry in self.waiting.values() if entry.expires_at <= now]
-        decisions = []
-        for entry in late:
-            if entry.call.call_id not in self.waiting:
-                continue
-            decisions.append(self.reject_late(entry, now))
-            if self.shed_policy.record_timeout(now):
-                decisions.extend(self.shed_queue(now))
-        return tuple(decisions)
+        return tuple(self.reject_late(entry, now) for entry in late)
 
     def next_expiry(self) -> float | None:
         """Return the time at which `expire` has work, or None."""
@@ -231,7 +183,6 @@
             self.forget_waiting(entry)
             self.running[entry.call.call_id] = entry.call
             self.n_running_by_caller[entry.call.caller] += 1
-            self.shed_policy.record_admission(now)
             decisions.append(Admitted(call_id=entry.call.call_id))
         return decisions
 
@@ -263,21 +214,7 @@
 
     def sequence_sign(self, now: float) -> int:
         """Return 1 when older calls are served first, otherwise -1."""
-        is_newest_first = self.queue_order.is_newest_first(
-            n_waiting=len(self.waiting), now=now
-        )
-        return -1 if is_newest_first else 1
-
-    def shed_queue(self, now: float) -> list[AdmissionDecision]:
-        """Reject all waiting calls."""
-        entries = list(self.waiting.values())
-        retry_after_s = self.queue_timeout_s
-        for entry in entries:
-            self.forget_waiting(entry)
-        return [
-            self.reject(entry.call, RefusalReason.OVERLOADED, retry_after_s)
-            for entry in entries
-        ]
+        return -1 if self.queue_order.is_newest_first(now) else 1
 
     def reject_late(self, entry: WaitingCall, now: float) -> Rejected:
         """Reject a call whose wait is over."""
@@ -314,3 +251,13 @@
     counter[name] -= 1
     if counter[name] <= 0:
         del counter[name]
+
+
+def make_admission_queue(*, host_id: str, cluster: Cluster) -> AdmissionQueue:
+    """Return a queue with the default policies for an upstream of a cluster."""
+    return AdmissionQueue(
+        host_id=host_id,
+        limit_policy=AdaptiveLimit(n_slots=cluster.n_slots),
+        n_queued=cluster.n_queued,
+        queue_timeout_s=cluster.queue_timeout_s,
+    )
--- a/foxtailway/routing/limit.py
+++ b/foxtailway/routing/limit.py
@@ -4,9 +4,21 @@
 
 __all__ = ["AdaptiveLimit", "FixedLimit", "LimitPolicy"]
 
+STEP = 0.7
+GAIN = 0.05
+N_REST_MINIMUM = 3
+
 
 class LimitPolicy(ABC):
-    """Decide how many calls may run beside each other."""
+    """Decide how many calls may run beside each other.
+
+    Attributes
+    ----------
+    n_slots : int
+        Largest limit.
+    """
+
+    n_slots: int
 
     @abstractmethod
     def limit(self) -> int:
@@ -54,25 +66,26 @@
 
 
 class AdaptiveLimit(LimitPolicy):
-    """Lower the limit while latency grows with the calls that run.
+    """Look for the smallest limit at which the upstream answers the most calls.
 
     Parameters
     ----------
     n_slots : int
-        Largest limit.
+        Largest limit, from which the search starts.
     n_minimum : int, default=2
         Smallest limit.
-    tolerance : float, default=2.0
-        Growth of latency over its floor that is put up with.
-    floor_window_s : float, default=30.0
-        Time after which the floor of the latency is measured anew, in seconds.
+    n_samples : int, default=40
+        Calls that end within one measurement.
+    n_rest_maximum : int, default=16
+        Measurements between two trials after many in vain.
 
     Notes
     -----
-    The floor is the smallest averaged latency of the current and the previous
-    window. While the average exceeds `tolerance` times the floor, each
-    completed call shrinks the limit in proportion to the excess; otherwise the
-    limit grows by one per round of calls, as long as it is in use.
+    While the limit is in use, the answers per second are measured. Now and
+    then a smaller or a larger limit is tried for one measurement, and kept when
+    it brought more answers. An upstream that is slow at any load answers in
+    proportion to the limit and keeps all its slots; one that slows down with
+    the calls it runs loses some. Trials become rarer while they bring nothing.
     """
 
     def __init__(
@@ -80,48 +93,78 @@
         *,
         n_slots: int,
         n_minimum: int = 2,
-        tolerance: float = 2.0,
-        floor_window_s: float = 30.0,
+        n_samples: int = 40,
+        n_rest_maximum: int = 16,
     ) -> None:
         self.n_slots = n_slots
         self.n_minimum = min(n_minimum, n_slots)
-        self.tolerance = tolerance
-        self.floor_window_s = floor_window_s
-        self.estimate = float(n_slots)
-        self.average_s: float | None = None
-        self.floor_s = float("inf")
-        self.previous_floor_s = float("inf")
-        self.window_ends_at: float | None = None
+        self.n_samples = n_samples
+        self.n_rest_maximum = n_rest_maximum
+        self.rest_limit = n_slots
+        self.current_limit = n_slots
+        self.rest_rate = 0.0
+        self.is_lowering = True
+        self.n_rest = N_REST_MINIMUM
+        self.n_until_trial = N_REST_MINIMUM
+        self.n_ended = 0
+        self.n_answered = 0
+        self.measured_since: float | None = None
 
     def limit(self) -> int:
         """Return the current limit."""
-        return int(self.estimate)
+        return self.current_limit
 
     def record(
         self, *, latency_s: float, is_success: bool, n_running: int, now: float
     ) -> None:
-        """Move the limit by the latency of one call."""
-        if not is_success:
+        """Count a call and move the limit after enough of them."""
+        if n_running != self.current_limit:
+            self.measured_since = None
+            return
+        if self.measured_since is None:
+            self.measured_since = now
+            self.n_ended = -self.current_limit
+            self.n_answered = 0
+            return
+        self.n_ended += 1
+        if self.n_ended <= 0:
+            self.measured_since = now
             return
-        if self.average_s is None:
-            self.average_s = latency_s
-        self.average_s += (latency_s - self.average_s) / self.n_slots
-        self.turn_window(now)
-        self.floor_s = min(self.floor_s, self.average_s)
-        allowed_s = self.tolerance * min(self.floor_s, self.previous_floor_s)
-        if self.average_s > allowed_s:
-            excess = max(0.5, allowed_s / self.average_s)
-            self.estimate -= (1.0 - excess) * self.estimate / self.n_slots
-        elif n_running * 2 >= self.estimate:
-            self.estimate += 1.0 / self.estimate
-        self.estimate = min(float(self.n_slots), max(self.n_minimum, self.estimate))
-
-    def turn_window(self, now: float) -> None:
-        """Start a new window for the floor when the current one ended."""
-        if self.window_ends_at is None:
-            self.window_ends_at = now + self.floor_window_s
-        if now < self.window_ends_at:
+        self.n_answered += is_success
+        if self.n_ended < self.n_samples or now <= self.measured_since:
             return
-        self.previous_floor_s = self.floor_s
-        self.floor_s = float("inf")
-        self.window_ends_at = now + self.floor_window_s
+        rate = self.n_answered / (now - self.measured_since)
+        self.measured_since = None
+        self.turn(rate)
+
+    def turn(self, rate: float) -> None:
+        """Use the rate of one whole measurement."""
+        if self.current_limit == self.rest_limit:
+            self.rest_rate = rate
+            self.n_until_trial -= 1
+        elif rate > self.rest_rate * (1.0 + GAIN):
+            self.rest_limit = self.current_limit
+            self.rest_rate = rate
+            self.n_rest = N_REST_MINIMUM
+            self.n_until_trial = 0
+        else:
+            self.current_limit = self.rest_limit
+            self.is_lowering = not self.is_lowering
+            self.n_until_trial = self.n_rest
+            self.n_rest = min(self.n_rest_maximum, self.n_rest * 2)
+        if self.n_until_trial <= 0:
+            self.start_trial()
+
+    def start_trial(self) -> None:
+        """Try the next limit in the current direction, or else in the other."""
+        for _ in range(2):
+            self.current_limit = self.next_limit()
+            if self.current_limit != self.rest_limit:
+                return
+            self.is_lowering = not self.is_lowering
+
+    def next_limit(self) -> int:
+        """Return the limit one step away from the one at rest."""
+        if self.is_lowering:
+            return max(self.n_minimum, int(self.rest_limit * STEP))
+        return min(self.n_slots, int(self.rest_limit / STEP) + 1)
--- a/foxtailway/routing/tests/test_quarantine.py
+++ b/foxtailway/routing/tests/test_quarantine.py
@@ -1,6 +1,6 @@
 import unittest
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from foxtailway.routing import CrashContainment, Outcome, RefusalReason, fingerprint
@@ -28,6 +28,7 @@
 
 
 class CrashContainmentTest(unittest.TestCase):
+    @settings(max_examples=50)
     @given(st.lists(st.tuples(st.integers(0, 4), st.integers(0, 9)), min_size=20))
     def test_resent_request_crashes_few_hosts(self, calls: list[tuple]) -> None:
         nodes = [make_containment() for _ in range(5)]
--- a/foxtailway/routing/tests/test_session.py
+++ b/foxtailway/routing/tests/test_session.py
@@ -1,6 +1,6 @@
 import unittest
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from foxtailway.routing import AnswerVerdict, CallSession, Outcome
@@ -46,6 +46,7 @@
 
 
 class CallSessionTest(unittest.TestCase):
+    @settings(max_examples=50)
     @given(STEPS)
     def test_equals_a_session_that_keeps_all(self, steps: list[tuple]) -> None:
         session, naive = make_session(), NaiveSession()
