--- a/foxtailway/distribution/tests/test_admission.py
+++ b/foxtailway/distribution/tests/test_admission.py
@@ -100,6 +100,14 @@
         for index in range(2 * FAN_OUT):
             self.assertIsNone(self.knock(f"guest-{index}", purpose=Purpose.PROBE))
         self.assertIsNone(self.knock("leaf"))
+        for index in range(2 * FAN_OUT):
+            self.knock(f"guest-x-{index}", purpose=Purpose.PROBE)
+        refusal = self.knock("guest-y", purpose=Purpose.PROBE)
+        self.assertIs(refusal.reason, RefusedReason.BUSY)
+
+    def test_another_protocol_is_refused(self) -> None:
+        refusal = self.knock("leaf", protocol_version=2)
+        self.assertIs(refusal.reason, RefusedReason.WRONG_PROTOCOL)
 
     def test_silent_children_make_room(self) -> None:
         for index in range(FAN_OUT):
--- a/foxtailway/distribution/tests/test_uplink.py
+++ b/foxtailway/distribution/tests/test_uplink.py
@@ -128,8 +128,10 @@
     def test_a_stale_parent_is_kept_if_others_are_no_fresher(self) -> None:
         trial = self.find_trial()
         old = Beacon(age_ms=11_000, n_hops=1)
+        n_actions = len(self.harness.actions)
         self.harness.welcome(trial, host_id="other", beacon=old)
-        dials = self.harness.find(Dial, self.harness.advance(1.0))
+        self.harness.advance(1.0)
+        dials = self.harness.find(Dial, self.harness.actions[n_actions:])
         self.assertEqual(dials, [])
         self.assertEqual(self.find_parent_id(), self.parent.target.host_id)
 
@@ -164,6 +166,12 @@
         self.assertGreater(sent.age_ms, 4900)
         self.assertEqual(sent.n_hops, 3)
 
+    def test_beacons_are_passed_on_at_once(self) -> None:
+        self.harness.accept(make_hello())
+        self.harness.advance(0.6)
+        actions = self.harness.receive(self.link_id, Heartbeat(beacon=FRESH))
+        self.assertEqual(len(self.harness.list_sent(Heartbeat, actions)), 2)
+
     def test_retries_back_off_to_a_cap(self) -> None:
         self.harness.receive(self.link_id, Goodbye(alternates=()))
         times_s = []
@@ -252,6 +260,36 @@
         self.assertEqual(self.harness.core.context.freshness.age_s(2.0), 2.0)
 
 
+class CutOffReaderTest(unittest.TestCase):
+    """The first reader, while the platform answers only the second one."""
+
+    def setUp(self) -> None:
+        hosts = tuple(
+            make_host(f"host-{index}", address=f"127.0.1.{index}")
+            for index in range(N_HOSTS)
+        )
+        topology = Topology(hosts=hosts, zone_regions={"accra-a": "accra"})
+        first = next(
+            host.host_id
+            for host in hosts
+            if not place(topology, settings=make_settings(host.host_id)).candidates
+        )
+        self.harness = CoreHarness(first)
+        self.harness.start()
+        self.harness.place(topology)
+        self.second = self.harness.core.placement.rescuers[0].host_id
+
+    def test_it_takes_the_second_as_parent_until_the_platform_answers(self) -> None:
+        dial = self.harness.next_dial()
+        self.assertEqual(dial.target.host_id, self.second)
+        self.harness.welcome(dial, host_id=self.second)
+        self.assertIsNotNone(self.harness.core.uplink.parent)
+        self.harness.collect(make_config(1))
+        self.harness.collect(make_host_list(1))
+        self.assertIsNone(self.harness.core.uplink.parent)
+        self.assertEqual(self.harness.find(Dial, self.harness.advance(5.0)), [])
+
+
 class FallbackTest(AttachedTestCase):
     role = Role.HEAD
 
--- a/foxtailway/distribution/tests/test_versions.py
+++ b/foxtailway/distribution/tests/test_versions.py
@@ -4,7 +4,7 @@
 from foxtailway.common import FailureKind
 from foxtailway.distribution.action import CloseLink, Collect, Dial
 from foxtailway.distribution.delta import encode_update
-from foxtailway.distribution.event import DialSucceeded
+from foxtailway.distribution.event import DialSucceeded, UpdateSent
 from foxtailway.distribution.history import VersionHistory
 from foxtailway.distribution.message import (
     ControlHello,
@@ -133,6 +133,13 @@
         actions = self.harness.receive(link_id, HeldReport(held=()))
         self.assertIsNone(self.harness.list_updates(actions)[0].base_digest)
 
+    def test_a_peer_that_can_use_no_update_is_left(self) -> None:
+        self.harness.accept(make_hello())
+        link_id = self.harness.core.links.find_child("child").link_id
+        for _ in range(5):
+            actions = self.harness.receive(link_id, HeldReport(held=()))
+        self.assertIn(CloseLink(link_id=link_id), actions)
+
     def test_a_broken_transfer_resumes_with_what_was_staged(self) -> None:
         harness = CoreHarness("other", seeds=SEEDS)
         harness.start()
@@ -157,11 +164,9 @@
         for revision in range(2, 6):
             self.harness.collect(make_config(revision))
         self.assertEqual(link.known[BundleKind.CONFIG], make_config(2).version)
-        link.sending.clear()
-        actions = self.harness.collect(make_config(6))
-        self.assertEqual(
-            self.harness.list_updates(actions)[0].version, make_config(6).version
-        )
+        sent = UpdateSent(link_id=link.link_id, kind=BundleKind.CONFIG)
+        update = self.harness.list_updates(self.harness.handle(sent))[0]
+        self.assertEqual(update.version, make_config(5).version)
 
     def test_nonsense_closes_the_stream(self) -> None:
         self.harness.accept(make_hello())
