--- a/foxtailway/config/base_file.py
+++ b/foxtailway/config/base_file.py
@@ -85,7 +85,8 @@
     findings += check_clusters(
         sectioned, list_unproven_routes(sectioned, indexes, previous), indexes
     )
-    findings += check_paths(sectioned, indexes["route"])
+    if not keep_targets(sectioned, previous):
+        findings += check_paths(sectioned, indexes["route"])
     rules = indexes[OVERLAYS_KIND].get("")
     return BaseFile(
         document=sectioned,
@@ -166,6 +167,23 @@
     return findings
 
 
+def keep_targets(document: SectionedDocument, previous: BaseFile | None) -> bool:
+    """Return whether all routes accept what they accepted before.
+
+    The earlier version was valid, so no two routes can accept the same then.
+    """
+    if previous is None:
+        return False
+    for located in document.fresh:
+        section = located.section
+        if section.kind != "route":
+            continue
+        known = previous.routes.get(section.name)
+        if known is None or known.section.targets != section.targets:
+            return False
+    return True
+
+
 def check_paths(
     document: SectionedDocument, routes: Mapping[str, LocatedSection]
 ) -> list[Finding]:
--- a/foxtailway/config/compiler.py
+++ b/foxtailway/config/compiler.py
@@ -1,8 +1,7 @@
 """Compilation of documents into one immutable snapshot."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
-from operator import attrgetter
 from types import MappingProxyType
 
 from expression import Error, Ok, Result
@@ -150,7 +149,9 @@
             fleet=fleet,
             clusters=clusters,
             routes=routes,
-            ordered_routes=order_routes(routes.values()),
+            ordered_routes=order_routes(
+                routes, previous=() if last is None else last.ordered_routes
+            ),
         )
 
     def build_snapshot(
@@ -191,14 +192,24 @@
         )
 
 
-def order_routes(items: Iterable[Item]) -> tuple[Route, ...]:
-    """Return routes with the longest path prefix first."""
-    routes: list[Route] = [item.product for item in items]
-    routes.sort(key=attrgetter("path_prefix", "name"))
-    routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+def order_routes(
+    items: Mapping[str, Item], *, previous: tuple[Route, ...]
+) -> tuple[Route, ...]:
+    """Return routes with the longest path prefix first.
+
+    Sorting starts from the earlier order, since it is fast on what is sorted.
+    """
+    names = {**dict.fromkeys([route.name for route in previous]), **items}
+    routes: list[Route] = [items[name].product for name in names if name in items]
+    routes.sort(key=rank_route)
     return tuple(routes)
 
 
+def rank_route(route: Route) -> tuple[int, str, str]:
+    """Return the key by which routes are ordered."""
+    return (-len(route.path_prefix), route.path_prefix, route.name)
+
+
 def list_digests(bundle: Bundle) -> tuple[tuple[str, bytes], ...]:
     """Return key and digest of each document."""
     return tuple((document.key, document.digest) for document in bundle.documents)
--- a/foxtailway/config/tests/test_incremental.py
+++ b/foxtailway/config/tests/test_incremental.py
@@ -1,17 +1,20 @@
 import unittest
 from dataclasses import dataclass
+from unittest.mock import patch
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from foxtailway.config import SnapshotCompiler
 from foxtailway.config.tests.documents import (
+    BASE,
     CONFIG,
     HOSTS,
     config_bundle,
     hosts_bundle,
 )
 from foxtailway.config.tests.naive_compiler import compile_naively
+from foxtailway.config.tests.test_findings import CASES, OVERLAY_CASES
 
 CONFIG_LINES = (
     "",
@@ -167,6 +170,33 @@
         self.assertEqual(result.ok, fresh.ok)
         return True
 
+    def test_bad_edits_after_a_good_version(self) -> None:
+        bases = [BASE.replace(case.old, case.new, 1) for case in CASES]
+        versions = [{**CONFIG, "base": base} for base in bases]
+        versions += [{**CONFIG, "overlay/north": text} for text, _ in OVERLAY_CASES]
+        compiler = SnapshotCompiler(site="north")
+        self.compare_findings(compiler, CONFIG)
+        for version in versions:
+            self.assertGreater(self.compare_findings(compiler, version), 0)
+
+    def test_limit_of_sections_after_a_good_version(self) -> None:
+        edited = BASE.replace("[site south]", "[site west]\nregion = x\n[site south]")
+        compiler = SnapshotCompiler(site="north")
+        with patch("foxtailway.config.sectioned_document.MAX_SECTIONS", 8):
+            self.assertEqual(self.compare_findings(compiler, CONFIG), 0)
+            version = {**CONFIG, "base": edited}
+            self.assertGreater(self.compare_findings(compiler, version), 0)
+
+    def compare_findings(self, compiler, contents) -> int:
+        bundles = {"config": config_bundle(contents), "hosts": hosts_bundle(HOSTS)}
+        result = compiler.compile(**bundles)
+        fresh = SnapshotCompiler(site="north").compile(**bundles)
+        if fresh.is_ok():
+            self.assertEqual(result.ok, fresh.ok)
+            return 0
+        self.assertEqual(result.error, fresh.error)
+        return len(fresh.error.findings)
+
     def test_unchanged_parts_are_reused(self) -> None:
         compiler = SnapshotCompiler(site="north")
         hosts = hosts_bundle(HOSTS)
