Read the generation without splitting the whole base file

Cause: every offered version is asked for its generation. Change: the section mesh alone is cut out and parsed.

--- a/foxtailway/config/generation.py
+++ b/foxtailway/config/generation.py
@@ -3,12 +3,13 @@
 from expression import Error, Ok, Result
 
 from foxtailway.common.failure import Failure, FailureKind, Step
-from foxtailway.config.section_parser import split_sections
 from foxtailway.config.section_reader import BaseSectionReader
 from foxtailway.model.bundle import BASE_KEY
 
 __all__ = ["read_generation"]
 
+HEADER = b"[mesh]"
+
 
 def read_generation(content: bytes) -> Result[int, Failure]:
     r"""Return the generation that a base document states.
@@ -28,11 +29,11 @@
     >>> read_generation(b"[mesh]\nname = pond\ngeneration = 3\n").ok
     3
     """
-    text = content.decode(errors="replace")
-    for part in split_sections(text):
-        if not part.startswith("[mesh]"):
-            continue
-        entry = BaseSectionReader().read(part).entries.get("generation")
+    start = 0 if content.startswith(HEADER) else content.find(b"\n" + HEADER) + 1
+    if content.startswith(HEADER, start):
+        end = content.find(b"\n[", start)
+        text = content[start : end if end >= 0 else None].decode(errors="replace")
+        entry = BaseSectionReader().read(text).entries.get("generation")
         if entry is not None:
             return Ok(entry.value)
     return Error(
--- a/foxtailway/config/tests/test_compiler.py
+++ b/foxtailway/config/tests/test_compiler.py
@@ -92,6 +92,11 @@
 class GenerationTest(unittest.TestCase):
     def test_generation_of_base(self) -> None:
         self.assertEqual(read_generation(BASE.encode()).ok, 3)
+        moved = f"# note\n[site x]\nregion = x\n{BASE}".encode()
+        self.assertEqual(read_generation(moved).ok, 3)
+        self.assertEqual(read_generation(b"[mesh]\ngeneration = 7").ok, 7)
+        self.assertTrue(read_generation(b"").is_error())
+        self.assertTrue(read_generation(b"[mesh]\ngeneration = x").is_error())
         self.assertTrue(read_generation(b"[site a]\ngeneration = 4").is_error())
         self.assertTrue(read_generation(b"\xff[mesh]").is_error())
 
