Refuse documents whose key lacks a name and split reading from data

Cause: a document with the key 'secret' or 'overlay', without a name, was taken for a secret or an overlay with an empty name; sectioned_document had grown beyond one job. Seen failing: with the separator left out, the changed test fails.

--- a/foxtailway/config/base_file.py
+++ b/foxtailway/config/base_file.py
@@ -4,13 +4,13 @@
 from dataclasses import dataclass
 
 from foxtailway.config.bounds import Bounds
+from foxtailway.config.document_reader import read_document
 from foxtailway.config.finding import Defect, Finding
 from foxtailway.config.schema import OVERLAYS_KIND
 from foxtailway.config.section_reader import BaseSectionReader
 from foxtailway.config.sectioned_document import (
     LocatedSection,
     SectionedDocument,
-    read_document,
 )
 from foxtailway.config.typed_section import Target
 from foxtailway.model.bundle import Document
--- a/foxtailway/config/configuration.py
+++ b/foxtailway/config/configuration.py
@@ -73,13 +73,13 @@
     secrets: dict[str, Secret] = {}
     findings: list[Finding] = []
     for document in documents:
-        prefix, _, name = document.key.partition("/")
+        name = document.key.partition("/")[2]
         if document.key == BASE_KEY:
             base_document = document
-        elif f"{prefix}/" == OVERLAY_PREFIX:
+        elif document.key.startswith(OVERLAY_PREFIX):
             known = None if previous is None else previous.overlays.get(name)
             overlays[name] = read_overlay(document, site=name, previous=known)
-        elif f"{prefix}/" == SECRET_PREFIX:
+        elif document.key.startswith(SECRET_PREFIX):
             findings += check_secret(document)
             secrets[name] = Secret(name=name, value=document.content)
         else:
--- a/foxtailway/config/overlay.py
+++ b/foxtailway/config/overlay.py
@@ -3,12 +3,12 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from foxtailway.config.document_reader import read_document
 from foxtailway.config.finding import Finding
 from foxtailway.config.section_reader import OverlaySectionReader
 from foxtailway.config.sectioned_document import (
     LocatedSection,
     SectionedDocument,
-    read_document,
 )
 from foxtailway.config.typed_section import Entry, Section
 from foxtailway.model.bundle import Document
--- a/foxtailway/config/tests/test_documentation.py
+++ b/foxtailway/config/tests/test_documentation.py
@@ -1,8 +1,8 @@
 import unittest
 from pathlib import Path
 
+from foxtailway.config.document_reader import MAX_FINDINGS, MAX_SECTIONS
 from foxtailway.config.schema import SECTION_RULES
-from foxtailway.config.sectioned_document import MAX_FINDINGS, MAX_SECTIONS
 
 PAGE = Path("docs/CONFIGURATION.md")
 
--- a/foxtailway/config/tests/test_findings.py
+++ b/foxtailway/config/tests/test_findings.py
@@ -181,9 +181,9 @@
                 self.assert_findings(found, [f"overlay/north:{expected}"])
 
     def test_unknown_site_and_document(self) -> None:
-        found = list_findings({**CONFIG, "overlay/west": NORTH, "other": "x"})
+        found = list_findings({**CONFIG, "overlay/west": NORTH, "secret": "x"})
         expected = [
-            "other:1: the key is unknown; allowed: base, overlay/SITE and secret/NAME",
+            "secret:1: the key is unknown; allowed: base, overlay/SITE and secret/NAME",
             "overlay/west:1: there is no site 'west'",
         ]
         self.assert_findings(found, expected)
--- a/foxtailway/config/tests/test_incremental.py
+++ b/foxtailway/config/tests/test_incremental.py
@@ -182,7 +182,7 @@
     def test_limit_of_sections_after_a_good_version(self) -> None:
         edited = BASE.replace("[site south]", "[site west]\nregion = x\n[site south]")
         compiler = SnapshotCompiler(site="north")
-        with patch("foxtailway.config.sectioned_document.MAX_SECTIONS", 8):
+        with patch("foxtailway.config.document_reader.MAX_SECTIONS", 8):
             self.assertEqual(self.compare_findings(compiler, CONFIG), 0)
             version = {**CONFIG, "base": edited}
             self.assertGreater(self.compare_findings(compiler, version), 0)
