--- a/foxtailway/config/compiler.py
+++ b/foxtailway/config/compiler.py
@@ -223,7 +223,7 @@
             step=Step.CONFIG_VALIDATE,
             kind=FailureKind.INVALID,
             peer=first.source,
-            detail=f"{len(findings)} findings, the first is {first}",
+            detail=f"{first} (first of {len(findings)})",
         ),
         findings=findings,
     )
