--- a/foxtailway/config/sectioned_document.py
+++ b/foxtailway/config/sectioned_document.py
@@ -1,13 +1,11 @@
-"""Documents split into sections, with reuse of sections already read."""
+"""Documents as sequences of sections."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from expression import Error, Ok, Result
 
-from foxtailway.config.finding import Defect, Finding, shift_findings
-from foxtailway.config.section_parser import split_sections
-from foxtailway.config.section_reader import SectionReader
+from foxtailway.config.finding import Defect, Finding
 from foxtailway.config.typed_section import Section
 from foxtailway.model.bundle import Document
 
@@ -16,12 +14,9 @@
     "LocatedSection",
     "SectionedDocument",
     "decode_document",
-    "read_document",
 ]
 
 MAX_DOCUMENT_BYTES = 1_000_000
-MAX_SECTIONS = 8000
-MAX_FINDINGS = 1000
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -39,6 +34,11 @@
     section: Section
     n_lines_ahead: int
 
+    @property
+    def n_lines_through(self) -> int:
+        """Return the lines of the document up to the end of the section."""
+        return self.n_lines_ahead + self.section.n_lines
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SectionedDocument:
@@ -50,11 +50,13 @@
         Key of the document.
     digest : bytes
         Digest of the content.
-    sections : tuple of LocatedSection
-        Sections in the order of the document.
+    texts : list of str
+        Texts of the sections in the order of the document.
+    sections : list of LocatedSection
+        Sections in the same order.
     by_text : Mapping of str to LocatedSection
         Sections by their text, for reuse with the next version.
-    fresh : tuple of LocatedSection
+    fresh : list of LocatedSection
         Sections that the earlier version did not hold.
     findings : tuple of Finding
         Defects of the document and of its single sections.
@@ -62,9 +64,10 @@
 
     key: str
     digest: bytes
-    sections: tuple[LocatedSection, ...]
+    texts: list[str]
+    sections: list[LocatedSection]
     by_text: Mapping[str, LocatedSection]
-    fresh: tuple[LocatedSection, ...]
+    fresh: list[LocatedSection]
     findings: tuple[Finding, ...]
 
     def make_finding(
@@ -125,80 +128,3 @@
         key="",
         defect=Defect(problem=problem, allowed=allowed),
     )
-
-
-def read_document(
-    document: Document,
-    *,
-    reader_type: type[SectionReader],
-    previous: SectionedDocument | None,
-) -> SectionedDocument:
-    """Split a document and read the sections that are new.
-
-    Parameters
-    ----------
-    document : Document
-        Base file or overlay.
-    reader_type : type of SectionReader
-        Reader of the document's sections.
-    previous : SectionedDocument or None
-        Earlier version, whose unchanged sections are reused.
-
-    Returns
-    -------
-    SectionedDocument
-        Sections and the findings about them.
-    """
-    if previous is not None and previous.digest == document.digest:
-        return previous
-    decoded = decode_document(document)
-    if decoded.is_error():
-        return SectionedDocument(
-            key=document.key,
-            digest=document.digest,
-            sections=(),
-            by_text={},
-            fresh=(),
-            findings=(decoded.error,),
-        )
-    reader = reader_type()
-    known = {} if previous is None else previous.by_text
-    by_text: dict[str, LocatedSection] = {}
-    sections: list[LocatedSection] = []
-    fresh: list[LocatedSection] = []
-    findings: list[Finding] = []
-    n_lines = 0
-    for text in split_sections(decoded.ok):
-        if len(sections) >= MAX_SECTIONS or len(findings) >= MAX_FINDINGS:
-            findings.append(make_limit_finding(document, n_lines + 1))
-            break
-        located = known.get(text) or by_text.get(text)
-        if located is None:
-            located = LocatedSection(section=reader.read(text), n_lines_ahead=n_lines)
-            fresh.append(located)
-        elif located.n_lines_ahead != n_lines:
-            located = LocatedSection(section=located.section, n_lines_ahead=n_lines)
-        by_text[text] = located
-        sections.append(located)
-        if located.section.findings:
-            findings += shift_findings(
-                located.section.findings, source=document.key, n_lines=n_lines
-            )
-        n_lines += located.section.n_lines
-    return SectionedDocument(
-        key=document.key,
-        digest=document.digest,
-        sections=tuple(sections),
-        by_text=by_text,
-        fresh=tuple(fresh),
-        findings=tuple(findings),
-    )
-
-
-def make_limit_finding(document: Document, line: int) -> Finding:
-    """Build the finding that ends the reading of an excessive document."""
-    defect = Defect(
-        problem="the file is not read from here on",
-        allowed=f"up to {MAX_SECTIONS} sections and {MAX_FINDINGS} findings",
-    )
-    return Finding(source=document.key, line=line, section="", key="", defect=defect)
