--- /dev/null
+++ b/foxtailway/testing/usage.py
@@ -0,0 +1,57 @@
+"""Processor time and memory of a process, as the kernel counts them."""
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+__all__ = ["ProcessUsage", "read_usage"]
+
+KIBIBYTE = 1024
+USER_TIME_FIELD = 11
+SYSTEM_TIME_FIELD = 12
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ProcessUsage:
+    """Hold the usage of a process.
+
+    Parameters
+    ----------
+    cpu_s : float
+        Processor time since the start, in seconds.
+    resident_bytes : int
+        Resident memory, in bytes.
+    """
+
+    cpu_s: float
+    resident_bytes: int
+
+
+def read_usage(pid: int) -> ProcessUsage:
+    """Return the usage of a process.
+
+    Parameters
+    ----------
+    pid : int
+        Process identifier.
+
+    Returns
+    -------
+    ProcessUsage
+        Usage at this moment.
+
+    References
+    ----------
+    Manual page proc(5), files ``stat`` and ``status``.
+    """
+    folder = Path("/proc") / str(pid)
+    fields = (folder / "stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[USER_TIME_FIELD]) + int(fields[SYSTEM_TIME_FIELD])
+    resident_kib = 0
+    for line in (folder / "status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            resident_kib = int(line.split()[1])
+    return ProcessUsage(
+        cpu_s=ticks / os.sysconf("SC_CLK_TCK"),
+        resident_bytes=resident_kib * KIBIBYTE,
+    )
