Leave silent connections to the platform after one timeout

Cause: connections that went silent stay in the client's pool, and each of them costs one timeout, up to sixteen in a row. Ruled out: a fresh connection for the next call alone (the call after it takes a silent one from the pool again; tried, the test failed on its second call). Change: after a failed call the following ones use a client of their own; calls in flight finish on the old one. Measured: with four silent connections behind a relay, one call times out and the next two succeed; with the renewal switched off the test fails.

--- a/foxtailway/source/http_reader.py
+++ b/foxtailway/source/http_reader.py
@@ -4,12 +4,13 @@
 
 import pycurl
 from expression import Error, Ok, Result
-from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
 from foxtailway.common.failure import Failure, FailureKind, Step
 from foxtailway.settings.model import PlatformSettings
 from foxtailway.source.answer import parse_change_set, parse_revision
+from foxtailway.source.http_pool import HttpPool
 from foxtailway.source.reader import ChangeSet, SourceReader, SourceValue
 
 __all__ = ["HttpSourceReader"]
@@ -53,11 +54,7 @@
     ) -> None:
         self.settings = settings
         self.source_address = source_address
-        self.client = CurlAsyncHTTPClient(
-            force_instance=True,
-            max_clients=N_CONNECTIONS,
-            max_body_size=max_answer_size,
-        )
+        self.pool = HttpPool(n_connections=N_CONNECTIONS, max_body_size=max_answer_size)
         self.url = settings.url.rstrip("/")
         self.n_calls = 0
 
@@ -104,7 +101,7 @@
         )
         self.n_calls += 1
         try:
-            response = await self.client.fetch(request, raise_error=False)
+            response = await self.pool.fetch(request)
         except CurlError as error:
             kind = KINDS_BY_CURL_ERROR.get(error.errno, FailureKind.UNREACHABLE)
             detail = f"curl error {error.errno}: {error.message}"
@@ -123,4 +120,4 @@
 
     def close(self) -> None:
         """Close all connections; idempotent."""
-        self.client.close()
+        self.pool.close()
--- a/foxtailway/source/tests/test_http_reader.py
+++ b/foxtailway/source/tests/test_http_reader.py
@@ -6,6 +6,10 @@
 from hypothesis import strategies as st
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPRequest
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import bind_sockets
+from tornado.tcpclient import TCPClient
+from tornado.tcpserver import TCPServer
 
 from foxtailway.common import FailureKind, Step
 from foxtailway.settings import PlatformSettings
@@ -154,6 +158,61 @@
         self.assertIn(b'"n_values": 1', answer.body)
 
 
+class Relay(TCPServer):
+    """Forward connections; those open when it is frozen go silent."""
+
+    def __init__(self, *, port: int) -> None:
+        super().__init__()
+        self.target_port = port
+        self.n_accepted = 0
+        self.frozen = asyncio.Event()
+
+    def freeze(self) -> None:
+        self.frozen.set()
+        self.frozen = asyncio.Event()
+
+    async def handle_stream(self, stream: IOStream, address: tuple) -> None:
+        self.n_accepted += 1
+        target = await TCPClient().connect("127.0.0.1", self.target_port)
+        frozen = self.frozen
+        await asyncio.gather(
+            self.forward(stream, target, frozen), self.forward(target, stream, frozen)
+        )
+
+    async def forward(
+        self, source: IOStream, target: IOStream, frozen: asyncio.Event
+    ) -> None:
+        try:
+            while True:
+                chunk = await source.read_bytes(65_536, partial=True)
+                if not frozen.is_set():
+                    await target.write(chunk)
+        except StreamClosedError:
+            target.close()
+
+
+class SilentConnectionTest(unittest.IsolatedAsyncioTestCase):
+    async def test_one_timeout_leaves_all_silent_connections(self) -> None:
+        platform = PlatformStandIn(address="127.0.0.1")
+        platform.start()
+        self.addAsyncCleanup(platform.stop)
+        platform.faults.delay_s = 0.05
+        relay = Relay(port=platform.port)
+        (listening,) = bind_sockets(0, "127.0.0.1")
+        relay.add_socket(listening)
+        self.addCleanup(relay.stop)
+        url = f"http://127.0.0.1:{listening.getsockname()[1]}"
+        reader = HttpSourceReader(settings=make_settings(url, timeout_s=0.5))
+        self.addCleanup(reader.close)
+        await asyncio.gather(*(reader.read_value(key="a") for _ in range(4)))
+        self.assertEqual(relay.n_accepted, 4)
+        relay.freeze()
+        silent = await reader.read_value(key="a")
+        self.assertEqual(silent.error.kind, FailureKind.TIMEOUT)
+        self.assertTrue((await reader.read_value(key="a")).is_ok())
+        self.assertTrue((await reader.read_value(key="a")).is_ok())
+
+
 class AnswerTest(unittest.TestCase):
     @given(st.binary(max_size=20) | JSON_VALUES.map(json.dumps).map(str.encode))
     def test_foreign_bodies_never_raise(self, body: bytes) -> None:
