Return a failure from a closed reader

Cause: a call after the close raised an exception of the client. Change: it is a failure of kind CLOSED. Measured: the tests of source, settings, observe, testing and cli pass; with the handler switched off one fails.

--- a/foxtailway/source/http_reader.py
+++ b/foxtailway/source/http_reader.py
@@ -106,6 +106,8 @@
             kind = KINDS_BY_CURL_ERROR.get(error.errno, FailureKind.UNREACHABLE)
             detail = f"curl error {error.errno}: {error.message}"
             return Error(self.fail(step, kind, detail))
+        except RuntimeError:
+            return Error(self.fail(step, FailureKind.CLOSED, "reader is closed"))
         except (HTTPClientError, OSError, ValueError) as error:
             detail = f"{type(error).__name__}: {error}"
             return Error(self.fail(step, FailureKind.UNREACHABLE, detail))
--- a/foxtailway/source/tests/test_http_reader.py
+++ b/foxtailway/source/tests/test_http_reader.py
@@ -145,6 +145,11 @@
         await self.platform.stop()
         await self.check_failure(self.reader, FailureKind.UNREACHABLE)
 
+    async def test_closed_reader_fails(self) -> None:
+        self.reader.close()
+        self.reader.close()
+        await self.check_failure(self.reader, FailureKind.CLOSED)
+
     async def test_operators_write_and_set_faults_by_http(self) -> None:
         client = CurlAsyncHTTPClient(force_instance=True)
         self.addCleanup(client.close)
