Give the intruders' hello its new field and bound deltas over the link

Change: the field is set. After a partition and after an edit the control bytes of the link stay below one compressed copy of the base file, besides the bound by naive pollers on all bytes; the sample's routes compress less.

--- a/foxtailway/node/tests/control_case.py
+++ b/foxtailway/node/tests/control_case.py
@@ -185,11 +185,6 @@
         unheard = [host.host_id for host in self.hosts if not newest[host.host_id]]
         self.assertEqual(unheard, [])
 
-    async def count_link_bytes(self) -> int:
-        """Return the billed bytes of configuration traffic."""
-        counters = await self.fleet.count_link_bytes()
-        return counters["control"] + counters["platform"]
-
     async def count_platform_calls(self) -> int:
         counters = await self.fleet.count_platform_calls()
         return counters["n_changes"] + counters["n_values"] + counters["n_rejected"]
--- a/foxtailway/node/tests/test_control_intruders.py
+++ b/foxtailway/node/tests/test_control_intruders.py
@@ -40,6 +40,7 @@
             zone=self.target.zone,
             purpose=Purpose.FEED,
             is_relay=False,
+            is_preferred=False,
             held=(),
             staged=(),
         )
--- a/foxtailway/node/tests/test_control_partitions.py
+++ b/foxtailway/node/tests/test_control_partitions.py
@@ -1,5 +1,7 @@
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Awaitable, Iterable
+
+from zstandard import ZstdCompressor
 
 from foxtailway.node.tests.control_case import (
     REMOTE_REGION,
@@ -10,12 +12,13 @@
 )
 from foxtailway.testing.deployment import LINK_NAIVE_PORT, HostPlan
 
+BEST_LEVEL = 19
 N_CUT_EDITS = 3
 
 
 class PartitionTest(ControlFailureCase):
     has_upstreams = True
-    n_routes = 400
+    n_routes = 300
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
@@ -42,13 +45,21 @@
         self.assertEqual({view.status["config_version"] for view in views}, known)
         await self.assert_ready(self.hosts)
         await self.assert_calls(self.remote)
-        before = await self.count_link_bytes()
-        await self.fleet.set_link("open")
+        await self.assert_bytes(self.fleet.set_link("open"))
+        await self.assert_bytes(self.edit("7s"))
+        await self.assert_sound()
+
+    async def assert_bytes(self, action: Awaitable):
+        """Assert that nodes send deltas and cost less than naive pollers."""
+        before = await self.fleet.count_link_bytes()
+        await action
         await self.wait_newest()
         await asyncio.sleep(SILENCE_S)
-        n_bytes = await self.count_link_bytes() - before
+        after = await self.fleet.count_link_bytes()
+        whole = ZstdCompressor(level=BEST_LEVEL).compress(self.sample.render_base())
+        self.assertLess(after["control"] - before["control"], len(whole))
+        n_bytes = sum(after[key] - before[key] for key in ("control", "platform"))
         self.assertLess(n_bytes, len(self.remote) * await self.count_copy_bytes())
-        await self.assert_sound()
 
     async def count_copy_bytes(self) -> int:
         """Return the billed bytes of one whole copy read over the link."""
--- a/foxtailway/testing/sample.py
+++ b/foxtailway/testing/sample.py
@@ -1,13 +1,13 @@
 """Configuration files of a deployment, generated at a chosen size."""
 
 from dataclasses import dataclass
+from zlib import crc32
 
 from foxtailway.testing.deployment import Deployment
 
 __all__ = ["SampleConfiguration"]
 
 SMALLEST_TIMEOUT_MS = 500
-TIMEOUT_STRIDE_MS = 397
 N_TIMEOUTS = 4_001
 
 
@@ -58,11 +58,12 @@
             f"secret = {service}-token\n"
         ]
         for index in range(self.n_routes):
-            spread = hash_position(service, index) * TIMEOUT_STRIDE_MS % N_TIMEOUTS
+            number = crc32(f"{service}-{index}".encode())
+            leaf = f"{index}-{number:08x}" if index else "0"
             sections.append(
-                f"[route {service}-{index}]\npath = /{service}/{index}\n"
+                f"[route {service}-{index}]\npath = /{service}/{leaf}\n"
                 f"methods = GET\ncluster = {service}\nidempotent = yes\n"
-                f"timeout = {SMALLEST_TIMEOUT_MS + spread}ms\n"
+                f"timeout = {SMALLEST_TIMEOUT_MS + number % N_TIMEOUTS}ms\n"
             )
         return "\n".join(sections)
 
@@ -81,8 +82,3 @@
             values[f"hosts/{zone}"] = self.deployment.render_hosts(zone)
         values["base"] = self.render_base()
         return values
-
-
-def hash_position(service: str, index: int) -> int:
-    """Return a number that differs between the routes of all services."""
-    return sum(service.encode()) * 31 + index
