Let values change while they are read in the crossing edits' test

Cause: with the collector's check of revisions switched off the test passed, since a listing and the reading of its values were too close together. Change: the platform answers 50 ms late while 48 edits cross. Ruled out: longer timeouts in the edits; values above 10 s are invalid and the fleet rightly keeps the last valid version, which a first try ran into.

--- a/foxtailway/node/tests/test_control_platform.py
+++ b/foxtailway/node/tests/test_control_platform.py
@@ -8,7 +8,9 @@
 )
 from foxtailway.testing.trail import rank_version
 
-N_CROSSING_EDITS = 8
+N_CROSSING_EDITS = 24
+EDIT_INTERVAL_S = 0.02
+SLOW_ANSWER_S = 0.05
 BAD_VALUE = "90s"
 
 
@@ -105,20 +107,28 @@
 
 class EditTest(ControlFailureCase):
     async def test_crossing_edits(self):
-        """Edits by two operators at once end in one state everywhere."""
+        """Edits by two operators at once end in one state everywhere.
+
+        The platform answers slowly, so that values change between a listing
+        and the reading of what it lists.
+        """
 
         async def edit_base():
             for index in range(N_CROSSING_EDITS):
                 content = self.sample.render_base(max_hops=17 + index)
                 await self.publish("base", content)
+                await asyncio.sleep(EDIT_INTERVAL_S)
 
         async def edit_overlays():
             zones = tuple(self.sample.zone_regions)
             for index in range(N_CROSSING_EDITS):
-                content = self.sample.render_overlay(timeout=f"{3 + index}s")
+                content = self.sample.render_overlay(timeout=f"{1 + index % 9}s")
                 await self.publish(f"overlay/{zones[index % len(zones)]}", content)
+                await asyncio.sleep(EDIT_INTERVAL_S)
 
+        await self.fleet.set_faults(delay_s=SLOW_ANSWER_S)
         await asyncio.gather(edit_base(), edit_overlays())
+        await self.fleet.set_faults(delay_s=0.0)
         await self.wait_newest()
         await self.assert_sound()
 
