--- a/foxtailway/config/compiler.py
+++ b/foxtailway/config/compiler.py
@@ -1,7 +1,7 @@
 """Compilation of documents into one immutable snapshot."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from types import MappingProxyType
 
 from expression import Error, Ok, Result
@@ -54,6 +54,8 @@
         Hosts of all zones.
     clusters, routes : Mapping of str to Item
         Products of the sections.
+    ordered_routes : tuple of Route
+        Routes with the longest path prefix first.
     """
 
     digests: tuple[tuple[str, bytes], ...]
@@ -61,6 +63,7 @@
     fleet: Fleet
     clusters: Mapping[str, Item]
     routes: Mapping[str, Item]
+    ordered_routes: tuple[Route, ...]
 
 
 class SnapshotCompiler:
@@ -123,6 +126,8 @@
     ) -> CompilerState:
         """Build clusters and routes of a valid configuration."""
         last = self.state
+        if last is not None and last.configuration is configuration:
+            return replace(last, fleet=fleet)
         overlay = configuration.overlays.get(self.site)
         clusters = build_items(
             configuration.base.services,
@@ -144,6 +149,9 @@
             fleet=fleet,
             clusters=clusters,
             routes=routes,
+            ordered_routes=order_routes(
+                routes, previous=() if last is None else last.ordered_routes
+            ),
         )
 
     def build_snapshot(
@@ -158,7 +166,7 @@
             for name, item in state.clusters.items()
             if name in fleet.live
         }
-        routes = [item.product for item in state.routes.values()]
+        routes = state.ordered_routes
         secret_names = {
             cluster.secret for cluster in clusters.values() if cluster.secret
         }
@@ -170,12 +178,10 @@
                 configuration.base.mesh.section,
                 configuration.overlays.get(self.site),
             ),
-            routes=order_routes(
-                [route for route in routes if route.cluster in clusters]
-            ),
+            routes=tuple(route for route in routes if route.cluster in clusters),
             clusters=MappingProxyType(clusters),
             endpoints=MappingProxyType({name: fleet.live[name] for name in clusters}),
-            hosts=fleet.hosts,
+            hosts=MappingProxyType(fleet.hosts),
             secrets=MappingProxyType(
                 {name: configuration.secrets[name] for name in sorted(secret_names)}
             ),
@@ -186,14 +192,22 @@
         )
 
 
-def order_routes(routes: list[Route]) -> tuple[Route, ...]:
-    """Return routes with the longest path prefix first."""
-    return tuple(
-        sorted(
-            routes,
-            key=lambda route: (-len(route.path_prefix), route.path_prefix, route.name),
-        )
-    )
+def order_routes(
+    items: Mapping[str, Item], *, previous: tuple[Route, ...]
+) -> tuple[Route, ...]:
+    """Return routes with the longest path prefix first.
+
+    Sorting starts from the earlier order, since it is fast on what is sorted.
+    """
+    names = {**dict.fromkeys([route.name for route in previous]), **items}
+    routes: list[Route] = [items[name].product for name in names if name in items]
+    routes.sort(key=rank_route)
+    return tuple(routes)
+
+
+def rank_route(route: Route) -> tuple[int, str, str]:
+    """Return the key by which routes are ordered."""
+    return (-len(route.path_prefix), route.path_prefix, route.name)
 
 
 def list_digests(bundle: Bundle) -> tuple[tuple[str, bytes], ...]:
@@ -209,7 +223,7 @@
             step=Step.CONFIG_VALIDATE,
             kind=FailureKind.INVALID,
             peer=first.source,
-            detail=f"{len(findings)} findings, the first is {first}",
+            detail=f"{first} (first of {len(findings)})",
         ),
         findings=findings,
     )
--- a/foxtailway/config/sectioned_document.py
+++ b/foxtailway/config/sectioned_document.py
@@ -1,12 +1,11 @@
-"""Documents split into sections, with reuse of sections already read."""
+"""Documents as sequences of sections."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from expression import Error, Ok, Result
 
-from foxtailway.config.finding import Defect, Finding, shift_findings
-from foxtailway.config.section import split_sections
+from foxtailway.config.finding import Defect, Finding
 from foxtailway.config.typed_section import Section
 from foxtailway.model.bundle import Document
 
@@ -15,12 +14,9 @@
     "LocatedSection",
     "SectionedDocument",
     "decode_document",
-    "read_document",
 ]
 
 MAX_DOCUMENT_BYTES = 1_000_000
-MAX_SECTIONS = 8000
-MAX_FINDINGS = 1000
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -38,6 +34,11 @@
     section: Section
     n_lines_ahead: int
 
+    @property
+    def n_lines_through(self) -> int:
+        """Return the lines of the document up to the end of the section."""
+        return self.n_lines_ahead + self.section.n_lines
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SectionedDocument:
@@ -49,18 +50,24 @@
         Key of the document.
     digest : bytes
         Digest of the content.
-    sections : tuple of LocatedSection
-        Sections in the order of the document.
-    by_text : Mapping of str to Section
+    texts : list of str
+        Texts of the sections in the order of the document.
+    sections : list of LocatedSection
+        Sections in the same order.
+    by_text : Mapping of str to LocatedSection
         Sections by their text, for reuse with the next version.
+    fresh : list of LocatedSection
+        Sections that the earlier version did not hold.
     findings : tuple of Finding
         Defects of the document and of its single sections.
     """
 
     key: str
     digest: bytes
-    sections: tuple[LocatedSection, ...]
-    by_text: Mapping[str, Section]
+    texts: list[str]
+    sections: list[LocatedSection]
+    by_text: Mapping[str, LocatedSection]
+    fresh: list[LocatedSection]
     findings: tuple[Finding, ...]
 
     def make_finding(
@@ -75,6 +82,15 @@
             defect=Defect(problem=problem, allowed=allowed),
         )
 
+    def make_duplicate_finding(self, located: LocatedSection) -> Finding:
+        """Build the finding about a header that stands in the document before."""
+        return self.make_finding(
+            located,
+            key="",
+            problem="the section is a duplicate",
+            allowed="one such section",
+        )
+
 
 def decode_document(document: Document) -> Result[str, Finding]:
     """Decode a document, or say why it can't be read.
@@ -112,71 +128,3 @@
         key="",
         defect=Defect(problem=problem, allowed=allowed),
     )
-
-
-def read_document(
-    document: Document,
-    *,
-    read_section: Callable[[str], Section],
-    previous: SectionedDocument | None,
-) -> SectionedDocument:
-    """Split a document and read the sections that are new.
-
-    Parameters
-    ----------
-    document : Document
-        Base file or overlay.
-    read_section : callable
-        Reader of one section's text.
-    previous : SectionedDocument or None
-        Earlier version, whose unchanged sections are reused.
-
-    Returns
-    -------
-    SectionedDocument
-        Sections and the findings about them.
-    """
-    if previous is not None and previous.digest == document.digest:
-        return previous
-    decoded = decode_document(document)
-    if decoded.is_error():
-        return SectionedDocument(
-            key=document.key,
-            digest=document.digest,
-            sections=(),
-            by_text={},
-            findings=(decoded.error,),
-        )
-    known = {} if previous is None else previous.by_text
-    by_text: dict[str, Section] = {}
-    sections: list[LocatedSection] = []
-    findings: list[Finding] = []
-    n_lines = 0
-    for text in split_sections(decoded.ok):
-        if len(sections) >= MAX_SECTIONS or len(findings) >= MAX_FINDINGS:
-            findings.append(make_limit_finding(document, n_lines + 1))
-            break
-        section = known.get(text) or by_text.get(text) or read_section(text)
-        by_text[text] = section
-        sections.append(LocatedSection(section=section, n_lines_ahead=n_lines))
-        if section.findings:
-            findings += shift_findings(
-                section.findings, source=document.key, n_lines=n_lines
-            )
-        n_lines += section.n_lines
-    return SectionedDocument(
-        key=document.key,
-        digest=document.digest,
-        sections=tuple(sections),
-        by_text=by_text,
-        findings=tuple(findings),
-    )
-
-
-def make_limit_finding(document: Document, line: int) -> Finding:
-    """Build the finding that ends the reading of an excessive document."""
-    defect = Defect(
-        problem="the file is not read from here on",
-        allowed=f"up to {MAX_SECTIONS} sections and {MAX_FINDINGS} findings",
-    )
-    return Finding(source=document.key, line=line, section="", key="", defect=defect)
--- a/foxtailway/config/tests/test_findings.py
+++ b/foxtailway/config/tests/test_findings.py
@@ -1,7 +1,7 @@
 import unittest
 from dataclasses import dataclass
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from foxtailway.config.configuration import read_configuration
@@ -181,9 +181,9 @@
                 self.assert_findings(found, [f"overlay/north:{expected}"])
 
     def test_unknown_site_and_document(self) -> None:
-        found = list_findings({**CONFIG, "overlay/west": NORTH, "other": "x"})
+        found = list_findings({**CONFIG, "overlay/west": NORTH, "secret": "x"})
         expected = [
-            "other:1: the key is unknown; allowed: base, overlay/SITE and secret/NAME",
+            "secret:1: the key is unknown; allowed: base, overlay/SITE and secret/NAME",
             "overlay/west:1: there is no site 'west'",
         ]
         self.assert_findings(found, expected)
@@ -197,6 +197,7 @@
         found = list_findings({**CONFIG, "base": BASE + services})
         self.assertEqual(len(found), 1)
 
+    @settings(max_examples=60, deadline=None)
     @given(
         st.integers(0, len(BASE)),
         st.integers(0, 40),
--- a/foxtailway/distribution/tests/test_admission.py
+++ b/foxtailway/distribution/tests/test_admission.py
@@ -53,6 +53,11 @@
         self.assertTrue(all(peer.host_id.startswith("b-") for peer in alternates))
         self.assertGreater(refusals[-1].retry_after_s, 1.0)
 
+    def test_without_a_host_list_refusals_name_children(self) -> None:
+        refusals = [self.knock(f"leaf-{index}") for index in range(FAN_OUT + 1)]
+        names = {peer.host_id for peer in refusals[-1].alternates}
+        self.assertEqual(names, {f"leaf-{index}" for index in range(FAN_OUT)})
+
     def test_full_transfers_are_bounded_and_do_not_starve_the_others(self) -> None:
         harness = self.harness
         for index in range(3):
@@ -95,6 +100,14 @@
         for index in range(2 * FAN_OUT):
             self.assertIsNone(self.knock(f"guest-{index}", purpose=Purpose.PROBE))
         self.assertIsNone(self.knock("leaf"))
+        for index in range(2 * FAN_OUT):
+            self.knock(f"guest-x-{index}", purpose=Purpose.PROBE)
+        refusal = self.knock("guest-y", purpose=Purpose.PROBE)
+        self.assertIs(refusal.reason, RefusedReason.BUSY)
+
+    def test_another_protocol_is_refused(self) -> None:
+        refusal = self.knock("leaf", protocol_version=2)
+        self.assertIs(refusal.reason, RefusedReason.WRONG_PROTOCOL)
 
     def test_silent_children_make_room(self) -> None:
         for index in range(FAN_OUT):
