Keep the agent running when a neighbouring part raises

Cause: an exception in the sink left its version undecided for good, and one in the collector ended the watch.

Change: both are reported to the loop's exception handler and count as a rejection and as a failed collection; the timer is set again before the core runs. Both tests fail without the change.

--- a/foxtailway/distribution/agent.py
+++ b/foxtailway/distribution/agent.py
@@ -4,7 +4,10 @@
 from collections import deque
 from random import Random
 
+from expression import Error
+
 from foxtailway.common.clock import Clock
+from foxtailway.common.failure import Failure, FailureKind, Step
 from foxtailway.distribution.action import (
     Action,
     CloseLink,
@@ -29,12 +32,12 @@
     TimerFired,
     TopologyUpdated,
 )
-from foxtailway.distribution.link import LinkRole
+from foxtailway.distribution.exchange import PLATFORM_PEER
 from foxtailway.distribution.message import ControlHello
 from foxtailway.distribution.observer import DistributionObserver
 from foxtailway.distribution.placement import Topology
 from foxtailway.distribution.sink import BundleSink
-from foxtailway.distribution.status import DistributionStatus
+from foxtailway.distribution.status import DistributionStatus, make_status
 from foxtailway.distribution.stream_pool import StreamPool, TaskGroup
 from foxtailway.model.bundle import BundleKind
 from foxtailway.settings.model import NodeSettings
@@ -128,22 +131,11 @@
 
     def status(self) -> DistributionStatus:
         """Return where the node stands."""
-        core = self.core
-        parent = core.uplink.parent
-        placement = core.placement
-        return DistributionStatus(
-            role=placement.role.name.lower() if placement else None,
-            parent_host_id=parent.host_id if parent else None,
-            n_children=len(core.links.list_role(LinkRole.CHILD)),
-            held=core.exchange.list_held(),
-            confirmed_age_s=core.context.freshness.age_s(self.clock.now()),
-            n_hops=core.context.freshness.n_hops,
-            is_bootstrapping=not core.bootstrap.is_over,
-            n_refused_older=core.context.n_refused_older,
+        return make_status(
+            self.core,
+            now=self.clock.now(),
             n_bytes_sent=self.pool.n_bytes_sent,
             n_bytes_received=self.pool.n_bytes_received,
-            n_platform_calls=core.platform.poller.n_calls,
-            last_failure=core.context.last_failure,
         )
 
     async def stop(self) -> None:
@@ -202,7 +194,10 @@
         """Offer a bundle to the sink."""
         bundle = action.bundle
         by = action.delivered_by
-        result = self.sink.offer(bundle, delivered_by=by)
+        try:
+            result = self.sink.offer(bundle, delivered_by=by)
+        except Exception as error:
+            result = Error(self.report_crash(error, step=Step.COMPILE, peer=by))
         if result.is_ok():
             self.observer.on_applied(bundle, delivered_by=by)
         else:
@@ -219,7 +214,21 @@
             self.timer.cancel()
         delay_s = max(0.0, action.time_s - self.clock.now())
         loop = asyncio.get_running_loop()
-        self.timer = loop.call_later(delay_s, self.handle, TimerFired())
+        self.timer = loop.call_later(delay_s, self.fire_timer)
+
+    def fire_timer(self) -> None:
+        """Wake the core, and again later even if it fails this time."""
+        later_s = self.clock.now() + self.settings.distribution.heartbeat_s
+        self.execute_wake_at(WakeAt(time_s=later_s))
+        self.handle(TimerFired())
+
+    def report_crash(self, error: Exception, *, step: Step, peer: str) -> Failure:
+        """Show a programming error of a neighbouring part and go on."""
+        asyncio.get_running_loop().call_exception_handler(
+            {"message": f"{step.value} raised", "exception": error}
+        )
+        detail = f"{type(error).__name__}: {error}"
+        return Failure(step=step, kind=FailureKind.INVALID, peer=peer, detail=detail)
 
     async def dial(self, action: Dial) -> None:
         """Connect, then read until the stream ends."""
@@ -243,5 +252,11 @@
     async def collect(self, action: Collect) -> None:
         """Ask the platform and feed the answer to the core."""
         kind: BundleKind = action.kind
-        result = await self.collector.collect(kind, wait_s=action.wait_s)
+        try:
+            result = await self.collector.collect(kind, wait_s=action.wait_s)
+        except Exception as error:
+            failure = self.report_crash(
+                error, step=Step.SOURCE_WATCH, peer=PLATFORM_PEER
+            )
+            result = Error(failure)
         self.handle(Collected(kind=kind, epoch=action.epoch, result=result))
--- a/foxtailway/distribution/status.py
+++ b/foxtailway/distribution/status.py
@@ -3,9 +3,11 @@
 from dataclasses import dataclass
 
 from foxtailway.common.failure import Failure
+from foxtailway.distribution.core import DistributionCore
+from foxtailway.distribution.link import LinkRole
 from foxtailway.distribution.message import HeldVersion
 
-__all__ = ["DistributionStatus"]
+__all__ = ["DistributionStatus", "make_status"]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -51,3 +53,41 @@
     n_bytes_received: int
     n_platform_calls: int
     last_failure: Failure | None
+
+
+def make_status(
+    core: DistributionCore, *, now: float, n_bytes_sent: int, n_bytes_received: int
+) -> DistributionStatus:
+    """Describe the state of a core.
+
+    Parameters
+    ----------
+    core : DistributionCore
+        Core of the node.
+    now : float
+        Current time in seconds.
+    n_bytes_sent, n_bytes_received : int
+        Payload bytes of control streams.
+
+    Returns
+    -------
+    DistributionStatus
+        State for operators.
+    """
+    parent = core.uplink.parent
+    placement = core.placement
+    freshness = core.context.freshness
+    return DistributionStatus(
+        role=placement.role.name.lower() if placement else None,
+        parent_host_id=parent.host_id if parent else None,
+        n_children=len(core.links.list_role(LinkRole.CHILD)),
+        held=core.exchange.list_held(),
+        confirmed_age_s=freshness.age_s(now),
+        n_hops=freshness.n_hops,
+        is_bootstrapping=not core.bootstrap.is_over,
+        n_refused_older=core.context.n_refused_older,
+        n_bytes_sent=n_bytes_sent,
+        n_bytes_received=n_bytes_received,
+        n_platform_calls=core.platform.poller.n_calls,
+        last_failure=core.context.last_failure,
+    )
--- a/foxtailway/distribution/tests/test_agent.py
+++ b/foxtailway/distribution/tests/test_agent.py
@@ -119,9 +119,9 @@
 class DistributionAgentTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.stack = AsyncExitStack()
-        self.errors = []
+        self.errors = asyncio.Queue()
         asyncio.get_running_loop().set_exception_handler(
-            lambda loop, context: self.errors.append(context)
+            lambda loop, context: self.errors.put_nowait(context)
         )
         sockets = [bind_unused_port(address="127.0.0.1") for _ in range(2)]
         seed = SeedAddress(address="127.0.0.1", port=sockets[0][1])
@@ -144,7 +144,29 @@
 
     async def asyncTearDown(self) -> None:
         await self.stack.aclose()
-        self.assertEqual(self.errors, [])
+        self.assertTrue(self.errors.empty())
+
+    async def test_a_raising_sink_does_not_stop_the_agent(self) -> None:
+        bundles = self.reader.collector.bundles[BundleKind.CONFIG]
+        offer = self.reader.sink.offer
+        self.reader.sink.offer = None
+        bundles.put_nowait(make_config(1))
+        await self.errors.get()
+        self.reader.sink.offer = offer
+        bundles.put_nowait(make_config(2))
+        await self.member.sink.wait_for(make_config(2))
+
+    async def test_a_raising_collector_does_not_stop_the_agent(self) -> None:
+        collector = self.reader.collector
+        collect = collector.collect
+        collector.collect = None
+        collector.bundles[BundleKind.CONFIG].put_nowait(make_config(1))
+        await self.errors.get()
+        collector.collect = collect
+        collector.bundles[BundleKind.CONFIG].put_nowait(make_config(2))
+        await self.member.sink.wait_for(make_config(2))
+        while not self.errors.empty():
+            self.errors.get_nowait()
 
     async def test_updates_reach_the_child(self) -> None:
         bundles = [make_config(1), make_host_list(1), make_config(2)]
