Feed a returning herd within its own region

Ruled out: ordering seeds by region, since settings name only addresses; sending the host list first, since it is the larger document.

Change: a node that knows the host list feeds an empty node of another region only if it ranks among the first of that region, and names that region's gateways to the others; before it knows the list, children of other zones wait for whole documents, up to twice the bootstrap timeout.

--- a/foxtailway/distribution/core.py
+++ b/foxtailway/distribution/core.py
@@ -142,6 +142,8 @@
         now = self.context.now
         if not self.bootstrap.is_over and now >= self.bootstrap.deadline_s:
             self.exchange.release()
+        if now >= self.bootstrap.deadline_s + self.sizes.bootstrap_timeout_s:
+            self.exchange.end_deferral()
         self.liveness.tick()
         is_lost = self.is_lost()
         self.platform.tick(is_lost=is_lost)
@@ -232,6 +234,7 @@
         self.placement = placement
         self.platform.poller.place(placement)
         self.downlink.place(event.topology)
+        self.exchange.end_deferral()
         self.uplink.is_relay = placement.is_relay
         self.uplink.seeker.place(
             candidates=placement.candidates,
--- a/foxtailway/distribution/downlink.py
+++ b/foxtailway/distribution/downlink.py
@@ -1,11 +1,14 @@
 """Streams that other nodes open: children, and guests that only ask."""
 
+from collections.abc import Mapping
+
 from foxtailway.common.failure import Step
 from foxtailway.distribution.action import CloseLink, Send
 from foxtailway.distribution.admission import REFUSAL_FAILURES, Admission
 from foxtailway.distribution.context import CoreContext
 from foxtailway.distribution.exchange import VersionExchange
 from foxtailway.distribution.link import Link, LinkRole
+from foxtailway.distribution.locality import Locality
 from foxtailway.distribution.message import (
     ControlHello,
     Goodbye,
@@ -16,11 +19,18 @@
     Welcome,
 )
 from foxtailway.distribution.placement import Topology
+from foxtailway.model.bundle import BundleKind
+from foxtailway.model.version import Version
 
 __all__ = ["Downlink"]
 
 N_ALTERNATES = 4
 BUSY_RETRY_S = 1.0
+SHORT_REFUSALS = (
+    RefusedReason.BUSY,
+    RefusedReason.REMOTE,
+    RefusedReason.UNCONFIRMED,
+)
 
 
 class Downlink:
@@ -38,6 +48,7 @@
         self.context = context
         self.exchange = exchange
         self.admission = Admission(settings=context.settings, links=context.links)
+        self.locality = Locality(settings=context.settings)
         self.is_stopping = False
         self.topology: Topology | None = None
         self.zone_peers: dict[str, list[PeerAddress]] | None = None
@@ -47,6 +58,10 @@
         """Name hosts of a new topology as alternates from now on."""
         self.topology = topology
         self.zone_peers = None
+        self.locality.place(topology)
+        for link in self.context.links.list_role(LinkRole.CHILD):
+            if self.is_misplaced(link.known, host_id=link.host_id, zone=link.zone):
+                self.send_away(link)
 
     def accept(self, link_id: int, hello: ControlHello) -> None:
         """Answer a hello."""
@@ -54,7 +69,12 @@
         if reason is not None:
             self.refuse(link_id, hello, reason)
             return
-        needs_full_transfer = self.exchange.needs_full_transfer(hello.held)
+        known = {item.kind: item.version for item in hello.held}
+        needs_full_transfer = self.exchange.needs_full_transfer(known)
+        is_misplaced = self.is_misplaced(known, host_id=hello.host_id, zone=hello.zone)
+        if is_misplaced and hello.purpose is Purpose.FEED:
+            self.refuse(link_id, hello, RefusedReason.REMOTE)
+            return
         judged = self.admission.judge(hello, needs_full_transfer=needs_full_transfer)
         if judged.is_error():
             self.refuse(link_id, hello, judged.error)
@@ -69,6 +89,15 @@
             return RefusedReason.UNCONFIRMED
         return None
 
+    def is_misplaced(
+        self, known: Mapping[BundleKind, Version], *, host_id: str, zone: str
+    ) -> bool:
+        """Tell whether a child should get whole documents in its own region."""
+        is_empty = len(known) < len(BundleKind)
+        if not is_empty and not self.exchange.needs_full_transfer(known):
+            return False
+        return self.locality.is_remote_leaf(host_id=host_id, zone=zone)
+
     def is_unconfirmed(self) -> bool:
         """Tell whether the node woke up and has not confirmed its view yet."""
         if self.context.now >= self.unconfirmed_until_s:
@@ -89,6 +118,7 @@
             opened_s=now,
             heard_s=now,
             sent_s=now,
+            zone=hello.zone,
             listener=PeerAddress(
                 host_id=hello.host_id, address=hello.address, port=hello.port
             ),
@@ -111,9 +141,12 @@
         if previous is not None:
             self.context.close(previous)
         if self.admission.is_full(hello):
-            displaced = self.admission.find_displaced(hello)
-            self.context.send(displaced, Goodbye(alternates=()))
-            self.context.close(displaced)
+            self.send_away(self.admission.find_displaced(hello))
+
+    def send_away(self, link: Link) -> None:
+        """Let a child look for another parent."""
+        self.context.send(link, Goodbye(alternates=()))
+        self.context.close(link)
 
     def refuse(self, link_id: int, hello: ControlHello, reason: RefusedReason) -> None:
         """Refuse a hello early and name other nodes to try."""
@@ -135,7 +168,7 @@
     def draw_retry_after_s(self, reason: RefusedReason) -> float:
         """Return the time after which a refused node may come again."""
         longest_s = self.context.settings.distribution.retry_max_s
-        if reason in (RefusedReason.BUSY, RefusedReason.UNCONFIRMED):
+        if reason in SHORT_REFUSALS:
             longest_s = min(BUSY_RETRY_S, longest_s)
         return longest_s * self.context.random_source.uniform(0.5, 1.0)
 
@@ -148,6 +181,8 @@
         chosen = self.context.random_source.sample(
             peers, k=min(len(peers), N_ALTERNATES)
         )
+        if self.locality.is_remote_leaf(host_id=hello.host_id, zone=hello.zone):
+            chosen = [*self.locality.list_gateways(hello.zone), *chosen]
         return tuple(
             peer for peer in chosen if peer.host_id not in (own_id, hello.host_id)
         )
--- a/foxtailway/distribution/exchange.py
+++ b/foxtailway/distribution/exchange.py
@@ -1,5 +1,6 @@
 """Versions passing through a node: received, judged, offered and pushed on."""
 
+from collections.abc import Mapping
 from dataclasses import replace
 
 from foxtailway.common.failure import FailureKind, Step
@@ -40,6 +41,8 @@
         self.staging = Staging()
         self.offered: dict[BundleKind, Bundle] = {}
         self.waiting: dict[BundleKind, tuple[Bundle, str]] = {}
+        self.zone = context.settings.host.zone
+        self.defers_whole = True
 
     def list_held(self) -> tuple[HeldVersion, ...]:
         """Return the held versions of all kinds."""
@@ -186,10 +189,26 @@
             if history.held is None or kind in link.sending:
                 continue
             known = link.known.get(kind)
+            if known is None and self.is_deferred(link):
+                continue
             order = compare_versions(held=known, offered=history.held.version)
             if order is VersionOrder.NEWER:
                 self.push(link, history)
 
+    def is_deferred(self, link: Link) -> bool:
+        """Tell whether a child has to wait for whole documents.
+
+        Before the host list is known, a child of another zone may belong to
+        another region, where it should be fed.
+        """
+        return self.defers_whole and link.zone not in ("", self.zone)
+
+    def end_deferral(self) -> None:
+        """Feed the children that waited for whole documents."""
+        if self.defers_whole:
+            self.defers_whole = False
+            self.feed_all()
+
     def push(self, link: Link, history: VersionHistory) -> None:
         """Send the held version, as a delta if the peer holds a known base."""
         known = link.known.get(history.kind)
@@ -208,9 +227,8 @@
             )
         )
 
-    def needs_full_transfer(self, held: tuple[HeldVersion, ...]) -> bool:
-        """Tell whether a peer holding `held` lacks every base of some kind."""
-        known = {item.kind: item.version for item in held}
+    def needs_full_transfer(self, known: Mapping[BundleKind, Version]) -> bool:
+        """Tell whether a peer holding `known` lacks every base of some kind."""
         for kind, history in self.histories.items():
             if history.held is None:
                 continue
--- a/foxtailway/distribution/link.py
+++ b/foxtailway/distribution/link.py
@@ -40,6 +40,8 @@
         Dialed address; None for accepted streams.
     host_id : str or None
         Host at the other end, once known.
+    zone : str
+        Zone of a node that opened the stream; empty for dialed streams.
     listener : PeerAddress or None
         Mesh listener of a node that opened the stream.
     is_welcome : bool
@@ -72,6 +74,7 @@
     heard_s: float
     sent_s: float
     known: dict[BundleKind, Version] = field(default_factory=dict)
+    zone: str = ""
     listener: PeerAddress | None = None
     is_preferred: bool = False
     staged: frozenset[bytes] = frozenset()
--- a/foxtailway/distribution/message.py
+++ b/foxtailway/distribution/message.py
@@ -42,6 +42,7 @@
     BUSY = "busy"
     LOOP = "loop"
     UNCONFIRMED = "unconfirmed"
+    REMOTE = "remote"
     STOPPING = "stopping"
     WRONG_MESH = "wrong_mesh"
     WRONG_PROTOCOL = "wrong_protocol"
--- a/foxtailway/distribution/placement.py
+++ b/foxtailway/distribution/placement.py
@@ -11,7 +11,14 @@
 from foxtailway.model.host import Host
 from foxtailway.settings.model import NodeSettings, SeedAddress
 
-__all__ = ["Placement", "Role", "Topology", "place"]
+__all__ = [
+    "Placement",
+    "Role",
+    "Topology",
+    "list_first_hosts",
+    "place",
+    "to_peers",
+]
 
 N_ALTERNATES = 4
 
@@ -90,6 +97,18 @@
     return Placer(topology, settings=settings).place()
 
 
+def list_region_hosts(topology: Topology, region: str) -> list[Host]:
+    """Return the hosts of a region."""
+    regions = topology.zone_regions
+    zones = {zone for zone, name in regions.items() if name == region}
+    return [host for host in topology.hosts if host.zone in zones]
+
+
+def list_first_hosts(topology: Topology, *, region: str, n_hosts: int) -> list[Host]:
+    """Return the `n_hosts` hosts of a region that rank first."""
+    return nsmallest(n_hosts, list_region_hosts(topology, region), key=score_key)
+
+
 def rank_score(host_id: str) -> int:
     """Return the rendezvous score of a host; the lowest one ranks first."""
     return xxh3_64_intdigest(host_id.encode())
@@ -137,10 +156,10 @@
         regions = topology.zone_regions
         self.zones = sorted(regions)
         self.regions = sorted(set(regions.values()) | {self.region})
-        store_hosts = self.list_region_hosts(self.store_region)
+        store_hosts = list_region_hosts(topology, self.store_region)
         region_hosts = store_hosts
         if self.region != self.store_region:
-            region_hosts = self.list_region_hosts(self.region)
+            region_hosts = list_region_hosts(topology, self.region)
         zone_hosts = [host for host in region_hosts if host.zone == self.zone]
         self.readers = nsmallest(self.sizes.n_readers, store_hosts, key=score_key)
         self.gateways = self.readers
@@ -156,13 +175,6 @@
         self.zone_rank = self.find_rank(self.zone_order)
         self.listed_seeds = self.find_listed_seeds(store_hosts, region_hosts)
 
-    def list_region_hosts(self, region: str) -> list[Host]:
-        """Return the hosts of a region."""
-        zones = {
-            zone for zone, name in self.topology.zone_regions.items() if name == region
-        }
-        return [host for host in self.topology.hosts if host.zone in zones]
-
     def find_listed_seeds(
         self, store_hosts: list[Host], region_hosts: list[Host]
     ) -> frozenset[SeedAddress]:
--- a/foxtailway/distribution/tests/network.py
+++ b/foxtailway/distribution/tests/network.py
@@ -155,10 +155,7 @@
             return Error(fail(Step.CONFIG_VALIDATE, FailureKind.INVALID))
         self.applied[bundle.kind] = bundle
         if bundle.kind is BundleKind.HOSTS:
-            topology = self.network.topology
-            self.network.after(
-                0.0, lambda: self.handle(TopologyUpdated(topology=topology))
-            )
+            self.handle(TopologyUpdated(topology=self.network.topology))
         return Ok(None)
 
 
--- a/foxtailway/distribution/tests/test_uplink.py
+++ b/foxtailway/distribution/tests/test_uplink.py
@@ -160,14 +160,14 @@
         beacon = Beacon(age_ms=4000, n_hops=2)
         self.harness.core.context.freshness.forget()
         self.harness.receive(self.link_id, Heartbeat(beacon=beacon))
-        self.harness.accept(make_hello())
+        self.harness.accept(make_hello(zone="kumasi-a"))
         actions = self.harness.advance(1.0)
         sent = self.harness.list_sent(Heartbeat, actions)[0].beacon
         self.assertGreater(sent.age_ms, 4900)
         self.assertEqual(sent.n_hops, 3)
 
     def test_beacons_are_passed_on_at_once(self) -> None:
-        self.harness.accept(make_hello())
+        self.harness.accept(make_hello(zone="kumasi-a"))
         self.harness.advance(0.6)
         actions = self.harness.receive(self.link_id, Heartbeat(beacon=FRESH))
         self.assertEqual(len(self.harness.list_sent(Heartbeat, actions)), 2)
@@ -214,7 +214,7 @@
 
 class PauseTest(AttachedTestCase):
     def pause(self) -> list:
-        self.harness.accept(make_hello())
+        self.harness.accept(make_hello(zone="kumasi-a"))
         self.harness.now += 10.0
         return self.harness.handle(TimerFired())
 
@@ -225,17 +225,17 @@
 
     def test_a_paused_node_feeds_no_child_before_it_has_confirmed(self) -> None:
         self.pause()
-        actions = self.harness.accept(make_hello())
+        actions = self.harness.accept(make_hello(zone="kumasi-a"))
         refusal = self.harness.list_sent(SubscriptionRefused, actions)[0]
         self.assertIs(refusal.reason, RefusedReason.UNCONFIRMED)
         self.harness.welcome(self.harness.next_dial())
-        self.harness.accept(make_hello())
+        self.harness.accept(make_hello(zone="kumasi-a"))
         self.assertIsNotNone(self.harness.core.links.find_child("child"))
 
     def test_a_cut_off_node_serves_its_children_after_all(self) -> None:
         self.pause()
         self.harness.advance(2.1)
-        self.harness.accept(make_hello())
+        self.harness.accept(make_hello(zone="kumasi-a"))
         self.assertIsNotNone(self.harness.core.links.find_child("child"))
 
 
