--- a/foxtailway/routing/balancer.py
+++ b/foxtailway/routing/balancer.py
@@ -11,7 +11,10 @@
 
 
 class ObservationKind(Enum):
-    """What a caller's node saw of one call."""
+    """What a caller's node saw of one call.
+
+    ``CANCELLED`` calls ended without telling anything about the endpoint.
+    """
 
     SUCCESS = "success"
     REFUSED_OVERLOAD = "refused-overload"
@@ -19,6 +22,7 @@
     FAILED = "failed"
     LOST = "lost"
     TIMED_OUT = "timed-out"
+    CANCELLED = "cancelled"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/foxtailway/routing/endpoint.py
+++ b/foxtailway/routing/endpoint.py
@@ -3,7 +3,7 @@
 from foxtailway.model.host import Host
 from foxtailway.routing.balancer import CallObservation, ObservationKind
 
-__all__ = ["EndpointState"]
+__all__ = ["FAILURE_KINDS", "EndpointState"]
 
 SMOOTHING = 0.25
 INITIAL_LATENCY_S = 0.005
@@ -71,10 +71,16 @@
         self.draining_until = float("-inf")
 
     def observe(self, observation: CallObservation, now: float) -> None:
-        """Learn from the end of one call."""
+        """Learn from the end of one call.
+
+        Calls that end during an ejection were begun before it and count as
+        known already.
+        """
+        kind = observation.kind
+        if kind is ObservationKind.CANCELLED or now < self.ejected_until:
+            return
         self.refresh(now)
         self.observed_at = now
-        kind = observation.kind
         is_refused = kind is ObservationKind.REFUSED_OVERLOAD
         self.refusal_ratio += SMOOTHING * (is_refused - self.refusal_ratio)
         if kind is ObservationKind.SUCCESS:
--- a/foxtailway/routing/rendezvous.py
+++ b/foxtailway/routing/rendezvous.py
@@ -26,6 +26,6 @@
     return tuple(nlargest(n_hosts, hosts, key=lambda host: rank(host, seed)))
 
 
-def rank(host: Host, seed: int) -> tuple[int, str]:
+def rank(host: Host, seed: int) -> int:
     """Return the rank of a host for the hash of a key."""
-    return xxh3_64_intdigest(host.host_id.encode(), seed), host.host_id
+    return xxh3_64_intdigest(host.host_id.encode(), seed)
--- a/foxtailway/routing/tests/test_admission.py
+++ b/foxtailway/routing/tests/test_admission.py
@@ -1,7 +1,7 @@
 import unittest
 from collections import Counter
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from foxtailway.routing import (
@@ -91,6 +91,7 @@
 
 
 class AdmissionQueueTest(unittest.TestCase):
+    @settings(max_examples=60)
     @given(STEPS)
     def test_equals_a_recomputed_queue(self, steps: list[tuple]) -> None:
         queue, naive = make_queue(), NaiveQueue()
--- a/foxtailway/routing/tests/test_zone_balancer.py
+++ b/foxtailway/routing/tests/test_zone_balancer.py
@@ -1,8 +1,9 @@
 import unittest
 from collections import Counter
+from itertools import pairwise
 from random import Random
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from foxtailway.model import Host
@@ -18,6 +19,37 @@
     return tuple(make_host(f"{zone}-{index}", zone=zone) for index in range(n_hosts))
 
 
+class EjectionReplay:
+    """Compute the ejections of one endpoint from its whole history."""
+
+    def __init__(self) -> None:
+        self.ejected_until = 0.0
+        self.durations: list[float] = []
+        self.start_ratio = 0.0
+        self.history: list[tuple[float, bool]] = [(0.0, False)]
+
+    def measure_ratio(self) -> float:
+        ratio = self.start_ratio
+        for (earlier, _), (later, is_failure) in pairwise(self.history):
+            if later - earlier >= 5.0:
+                ratio /= 2.0
+            ratio = 0.75 * ratio + 0.25 * is_failure
+        return ratio
+
+    def add(self, now: float, kind: str, is_full: bool) -> None:
+        if kind == "CANCELLED" or now < self.ejected_until:
+            return
+        self.history.append((now, kind != "SUCCESS"))
+        if kind == "SUCCESS" or self.measure_ratio() <= 0.5 or is_full:
+            return
+        if now - self.ejected_until > 60.0:
+            self.durations = []
+        self.durations.append(2.0 ** len(self.durations))
+        self.ejected_until = now + self.durations[-1]
+        self.start_ratio = 0.4
+        self.history = [(self.ejected_until, False)]
+
+
 class ZoneAwareBalancerTest(unittest.TestCase):
     def make_balancer(self, *hosts: Host, **changes: object) -> ZoneAwareBalancer:
         balancer = ZoneAwareBalancer(
@@ -112,6 +144,60 @@
         counts = self.count_calls(balancer, 400)
         self.assertLess(counts["accra-a-0"], 60)
 
+    @settings(max_examples=60)
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 2),
+                st.sampled_from(["SUCCESS", "FAILED", "LOST", "LOST", "CANCELLED"]),
+                st.sampled_from([0.1, 0.1, 6.0]),
+            ),
+            min_size=20,
+            max_size=50,
+        )
+    )
+    def test_ejections_equal_a_replay_of_the_history(self, calls: list[tuple]) -> None:
+        hosts = make_hosts(3)
+        balancer = self.make_balancer(*hosts, max_ejected_ratio=0.4)
+        replays = [EjectionReplay() for _ in hosts]
+        now = 0.0
+        for index, kind, duration_s in calls:
+            now += duration_s
+            observation = CallObservation(kind=ObservationKind[kind], latency_s=0.1)
+            balancer.finish("slots", hosts[index].host_id, now, observation)
+            is_full = any(replay.ejected_until > now for replay in replays)
+            replays[index].add(now, kind, is_full)
+            for host, replay in zip(hosts, replays, strict=True):
+                state = balancer.clusters["slots"].states[host.host_id]
+                self.assertEqual(
+                    max(state.ejected_until, 0.0), max(replay.ejected_until, 0.0)
+                )
+
+    def test_refusing_endpoint_gets_less(self) -> None:
+        balancer = self.make_balancer(*make_hosts(4))
+        refusing = {"accra-a-0": ObservationKind.REFUSED_OVERLOAD}
+        counts = self.count_calls(balancer, 400, refusing)
+        self.assertLess(counts["accra-a-0"], 60)
+
+    def test_slow_endpoint_is_tried_again(self) -> None:
+        balancer = self.make_balancer(*make_hosts(2))
+        observation = CallObservation(kind=ObservationKind.SUCCESS, latency_s=9.0)
+        balancer.finish("slots", "accra-a-0", 0.0, observation)
+        self.assertLess(self.count_calls(balancer, 50)["accra-a-0"], 20)
+        self.assertGreater(self.count_calls(balancer, 50, start=9.0)["accra-a-0"], 20)
+
+    def test_success_never_ejects(self) -> None:
+        balancer = self.make_balancer(*make_hosts(2), max_ejected_ratio=0.5)
+        for now, host_id in ((0.0, "accra-a-0"), (0.5, "accra-a-1")):
+            for _ in range(9):
+                lost = CallObservation(kind=ObservationKind.LOST, latency_s=0.1)
+                balancer.finish("slots", host_id, now, lost)
+        answered = CallObservation(kind=ObservationKind.SUCCESS, latency_s=0.1)
+        balancer.finish("slots", "accra-a-1", 3.0, answered)
+        state = balancer.clusters["slots"].states["accra-a-1"]
+        self.assertTrue(state.is_failing)
+        self.assertLess(state.ejected_until, 0.0)
+
     def test_failing_endpoint_is_ejected_longer_each_time(self) -> None:
         balancer = self.make_balancer(*make_hosts(4))
         failing = {"accra-a-0": ObservationKind.FAILED}
