--- a/foxtailway/routing/rendezvous.py
+++ b/foxtailway/routing/rendezvous.py
@@ -1,7 +1,6 @@
 """Rendezvous hashing: the same choice of hosts at every node."""
 
 from collections.abc import Iterable
-from heapq import nlargest
 
 from xxhash import xxh3_64_intdigest
 
@@ -17,15 +16,19 @@
     it only in favour of that host.
     """
     seed = xxh3_64_intdigest(key.encode())
-    return max(hosts, key=lambda host: rank(host, seed), default=None)
+    return max(
+        hosts,
+        key=lambda host: xxh3_64_intdigest(host.host_id.encode(), seed),
+        default=None,
+    )
 
 
 def choose_hosts(key: str, hosts: Iterable[Host], n_hosts: int) -> tuple[Host, ...]:
     """Return the `n_hosts` hosts that rank first for a key."""
     seed = xxh3_64_intdigest(key.encode())
-    return tuple(nlargest(n_hosts, hosts, key=lambda host: rank(host, seed)))
-
-
-def rank(host: Host, seed: int) -> int:
-    """Return the rank of a host for the hash of a key."""
-    return xxh3_64_intdigest(host.host_id.encode(), seed)
+    ranked = sorted(
+        hosts,
+        key=lambda host: xxh3_64_intdigest(host.host_id.encode(), seed),
+        reverse=True,
+    )
+    return tuple(ranked[:n_hosts])
