--- a/foxtailway/routing/balancer.py
+++ b/foxtailway/routing/balancer.py
@@ -11,7 +11,10 @@
 
 
 class ObservationKind(Enum):
-    """What a caller's node saw of one call."""
+    """What a caller's node saw of one call.
+
+    ``CANCELLED`` calls ended without telling anything about the endpoint.
+    """
 
     SUCCESS = "success"
     REFUSED_OVERLOAD = "refused-overload"
