Give the intruders' hello its address

Cause: the hello gained the address of the sender's listener; two tests that build one by hand could not any more. Change: the tests pass both fields; what they check is unchanged.

--- a/foxtailway/node/tests/test_control_intruders.py
+++ b/foxtailway/node/tests/test_control_intruders.py
@@ -38,6 +38,8 @@
             mesh=mesh,
             host_id="intruder",
             zone=self.target.zone,
+            address="127.0.0.1",
+            port=1,
             purpose=Purpose.FEED,
             is_relay=False,
             is_preferred=False,
