Take fan-out 8 and heartbeats of 1.5 s as defaults

Cause: the defaults were set before they were measured. benchmarks/fan_out.py at 28000 hosts: fan-out 8 with heartbeats of 1.5 s costs a relay 2884 bytes/s and is 6 deep, 16 costs 5447 and is as deep, 32 costs 10572 and is 5 deep; the limit is 3000.

--- a/foxtailway/settings/schema.py
+++ b/foxtailway/settings/schema.py
@@ -97,7 +97,7 @@
     keys=(
         define("seeds", SeedsKind(), "", "Nodes asked before a host list is known."),
         define_number(
-            "fan_out", "16", "1", "256", "Children that a node feeds at a time."
+            "fan_out", "8", "1", "256", "Children that a node feeds at a time."
         ),
         define_number(
             "n_readers",
@@ -120,10 +120,12 @@
             "16",
             "Nodes of every availability zone that are fed from outside it.",
         ),
-        define_duration("heartbeat", "4s", *INTERVAL_RANGE, "Interval of heartbeats."),
+        define_duration(
+            "heartbeat", "1500ms", *INTERVAL_RANGE, "Interval of heartbeats."
+        ),
         define_duration(
             "silence",
-            "10s",
+            "4500ms",
             *INTERVAL_RANGE,
             "Silence after which a peer is left; at least two heartbeats.",
         ),
