--- a/foxtailway/proxy/slot.py
+++ b/foxtailway/proxy/slot.py
@@ -13,7 +13,6 @@
     Admitted,
     PendingCall,
 )
-from foxtailway.routing.limit import AdaptiveLimit
 from foxtailway.routing.outcome import Outcome, Refusal, RefusalReason
 
 __all__ = ["SlotGate"]
@@ -38,10 +37,7 @@
 
     def configure(self, cluster: Cluster) -> None:
         """Take over the limits of the upstream's cluster."""
-        self.queue.n_queued = cluster.n_queued
-        self.queue.queue_timeout_s = cluster.queue_timeout_s
-        if self.queue.limit_policy.n_slots != cluster.n_slots:
-            self.queue.limit_policy = AdaptiveLimit(n_slots=cluster.n_slots)
+        self.queue.reconfigure(cluster)
 
     async def acquire(
         self, call: PendingCall, token: CancelToken
