--- a/benchmarks/admission_policies.py
+++ b/benchmarks/admission_policies.py
@@ -111,12 +111,19 @@
         deadline = now + self.random_source.uniform(*DEADLINES_S)
         self.calls[call_id] = (now, deadline)
         call = PendingCall(
-            call_id=call_id, caller="caller", priority=0, deadline=deadline
+            call_id=call_id,
+            caller=self.draw_caller(call_id),
+            priority=0,
+            deadline=deadline,
         )
         self.apply(self.queue.offer(call, now), now)
         if call_id in self.queue.waiting:
             self.plan(self.queue.waiting[call_id].expires_at, "expire")
 
+    def draw_caller(self, call_id: str) -> str:
+        """Return the caller of a call."""
+        return "caller"
+
     def apply(self, decisions: tuple[AdmissionDecision, ...], now: float) -> None:
         """Start the admitted calls."""
         for decision in decisions:
--- a/benchmarks/saturation_breaker.py
+++ b/benchmarks/saturation_breaker.py
@@ -6,6 +6,7 @@
 from foxtailway.routing import (
     AdmissionDecision,
     AdmissionQueue,
+    Admitted,
     PendingCall,
     RefusalReason,
     Rejected,
@@ -41,15 +42,14 @@
             self.is_probing = True
         return super().offer(call, now)
 
-    def fill_slots(self, now: float) -> list[AdmissionDecision]:
-        """Count the admitted calls and close the breaker after a probe."""
-        decisions = super().fill_slots(now)
-        self.admissions.extend(now for _ in decisions)
-        if decisions and self.is_probing:
+    def admit(self, call: PendingCall, now: float) -> Admitted:
+        """Count the call and close the breaker after a probe."""
+        self.admissions.append(now)
+        if self.is_probing:
             self.is_probing = False
             self.open_until = None
             self.timeouts.clear()
-        return decisions
+        return super().admit(call, now)
 
     def expire(self, now: float) -> tuple[AdmissionDecision, ...]:
         """Count the waits in vain and open the breaker when they are many."""
--- a/foxtailway/routing/admission.py
+++ b/foxtailway/routing/admission.py
@@ -106,6 +106,8 @@
             return (self.reject(call, RefusalReason.EXPIRED, 0.0),)
         decisions = list(self.expire(now))
         self.queue_order.observe(n_waiting=len(self.waiting), now=now)
+        if not self.waiting and len(self.running) < self.limit_policy.limit():
+            return (*decisions, self.admit(call, now))
         self.enqueue(call, now)
         decisions.extend(self.fill_slots(now))
         if len(self.waiting) > self.n_queued:
@@ -158,6 +160,8 @@
 
     def expire(self, now: float) -> tuple[AdmissionDecision, ...]:
         """Reject the calls that waited too long."""
+        if not self.waiting:
+            return ()
         late = [entry for entry in self.waiting.values() if entry.expires_at <= now]
         return tuple(self.reject_late(entry, now) for entry in late)
 
@@ -181,11 +185,15 @@
         while self.waiting and len(self.running) < self.limit_policy.limit():
             entry = self.select_next(now)
             self.forget_waiting(entry)
-            self.running[entry.call.call_id] = entry.call
-            self.n_running_by_caller[entry.call.caller] += 1
-            decisions.append(Admitted(call_id=entry.call.call_id))
+            decisions.append(self.admit(entry.call, now))
         return decisions
 
+    def admit(self, call: PendingCall, now: float) -> Admitted:
+        """Give a slot to a call."""
+        self.running[call.call_id] = call
+        self.n_running_by_caller[call.caller] += 1
+        return Admitted(call_id=call.call_id)
+
     def select_next(self, now: float) -> WaitingCall:
         """Return the waiting call that gets the next slot."""
         sign = self.sequence_sign(now)
