--- a/benchmarks/fan_out.py
+++ b/benchmarks/fan_out.py
@@ -13,8 +13,9 @@
     Beacon,
     Heartbeat,
 )
-from foxtailway.distribution.placement import Placement, Topology, place
+from foxtailway.distribution.placement import Placement, place
 from foxtailway.distribution.tests.support import make_host, make_settings
+from foxtailway.distribution.topology import Topology
 from foxtailway.model import Bundle, BundleKind, make_bundle, make_document
 from foxtailway.transport import MessageCodec
 
--- a/foxtailway/distribution/admission.py
+++ b/foxtailway/distribution/admission.py
@@ -1,13 +1,10 @@
 """Which nodes may open a control stream, and what refused ones are told."""
 
-from expression import Error, Ok, Result
-
 from foxtailway.common.failure import FailureKind
 from foxtailway.distribution.link import Link, LinkRole, LinkTable
 from foxtailway.distribution.message import (
     PROTOCOL_VERSION,
     ControlHello,
-    Purpose,
     RefusedReason,
 )
 from foxtailway.settings.model import NodeSettings
@@ -40,37 +37,33 @@
         self.fan_out = settings.distribution.fan_out
         self.links = links
 
-    def judge(
-        self, hello: ControlHello, *, needs_full_transfer: bool
-    ) -> Result[LinkRole, RefusedReason]:
-        """Return the role of the new stream, or why it is refused."""
+    def find_mismatch(self, hello: ControlHello) -> RefusedReason | None:
+        """Tell whether a node belongs to another mesh or protocol."""
         if hello.mesh != self.host.mesh:
-            return Error(RefusedReason.WRONG_MESH)
+            return RefusedReason.WRONG_MESH
         if hello.protocol_version != PROTOCOL_VERSION:
-            return Error(RefusedReason.WRONG_PROTOCOL)
-        if hello.purpose is Purpose.PROBE:
-            return self.judge_guest()
-        return self.judge_child(hello, needs_full_transfer=needs_full_transfer)
+            return RefusedReason.WRONG_PROTOCOL
+        return None
 
-    def judge_guest(self) -> Result[LinkRole, RefusedReason]:
+    def find_guest_refusal(self) -> RefusedReason | None:
         """Bound the number of probing nodes."""
         n_guests = len(self.links.list_role(LinkRole.GUEST))
         if n_guests >= GUESTS_PER_CHILD * self.fan_out:
-            return Error(RefusedReason.BUSY)
-        return Ok(LinkRole.GUEST)
+            return RefusedReason.BUSY
+        return None
 
-    def judge_child(
+    def find_child_refusal(
         self, hello: ControlHello, *, needs_full_transfer: bool
-    ) -> Result[LinkRole, RefusedReason]:
+    ) -> RefusedReason | None:
         """Bound the number of children and of full transfers."""
         if hello.host_id in self.list_upper_hosts():
-            return Error(RefusedReason.LOOP)
+            return RefusedReason.LOOP
         if self.is_full(hello) and self.find_displaced(hello) is None:
-            return Error(RefusedReason.FULL)
+            return RefusedReason.FULL
         n_full_transfers = self.links.count_full_transfers()
         if needs_full_transfer and n_full_transfers >= MAX_FULL_TRANSFERS:
-            return Error(RefusedReason.BUSY)
-        return Ok(LinkRole.CHILD)
+            return RefusedReason.BUSY
+        return None
 
     def is_full(self, hello: ControlHello) -> bool:
         """Tell whether there is no place left for a child."""
--- a/foxtailway/distribution/agent.py
+++ b/foxtailway/distribution/agent.py
@@ -35,10 +35,10 @@
 from foxtailway.distribution.exchange import PLATFORM_PEER
 from foxtailway.distribution.message import ControlHello
 from foxtailway.distribution.observer import DistributionObserver
-from foxtailway.distribution.placement import Topology
 from foxtailway.distribution.sink import BundleSink
 from foxtailway.distribution.status import DistributionStatus, make_status
 from foxtailway.distribution.stream_pool import StreamPool, TaskGroup
+from foxtailway.distribution.topology import Topology
 from foxtailway.model.bundle import BundleKind
 from foxtailway.settings.model import NodeSettings
 from foxtailway.source.collector import BundleCollector
--- a/foxtailway/distribution/downlink.py
+++ b/foxtailway/distribution/downlink.py
@@ -18,7 +18,7 @@
     SubscriptionRefused,
     Welcome,
 )
-from foxtailway.distribution.placement import Topology
+from foxtailway.distribution.topology import Topology
 from foxtailway.model.bundle import BundleKind
 from foxtailway.model.version import Version
 
@@ -55,7 +55,7 @@
         self.unconfirmed_until_s = 0.0
 
     def place(self, topology: Topology) -> None:
-        """Name hosts of a new topology as alternates from now on."""
+        """Name hosts of a new topology, and send misplaced children away."""
         self.topology = topology
         self.zone_peers = None
         self.locality.place(topology)
@@ -69,25 +69,29 @@
         if reason is not None:
             self.refuse(link_id, hello, reason)
             return
-        known = {item.kind: item.version for item in hello.held}
-        needs_full_transfer = self.exchange.needs_full_transfer(known)
-        is_misplaced = self.is_misplaced(known, host_id=hello.host_id, zone=hello.zone)
-        if is_misplaced and hello.purpose is Purpose.FEED:
-            self.refuse(link_id, hello, RefusedReason.REMOTE)
-            return
-        judged = self.admission.judge(hello, needs_full_transfer=needs_full_transfer)
-        if judged.is_error():
-            self.refuse(link_id, hello, judged.error)
-            return
-        self.welcome(link_id, hello, role=judged.ok)
+        role = LinkRole.CHILD
+        if hello.purpose is Purpose.PROBE:
+            role = LinkRole.GUEST
+        self.welcome(link_id, hello, role=role)
 
     def find_refusal(self, hello: ControlHello) -> RefusedReason | None:
-        """Return why no node is fed at present, or None."""
+        """Return why the node is not welcome, or None."""
+        reason = self.admission.find_mismatch(hello)
+        if reason is not None:
+            return reason
         if self.is_stopping:
             return RefusedReason.STOPPING
-        if hello.purpose is Purpose.FEED and self.is_unconfirmed():
+        if hello.purpose is Purpose.PROBE:
+            return self.admission.find_guest_refusal()
+        if self.is_unconfirmed():
             return RefusedReason.UNCONFIRMED
-        return None
+        known = {item.kind: item.version for item in hello.held}
+        if self.is_misplaced(known, host_id=hello.host_id, zone=hello.zone):
+            return RefusedReason.REMOTE
+        needs_full_transfer = self.exchange.needs_full_transfer(known)
+        return self.admission.find_child_refusal(
+            hello, needs_full_transfer=needs_full_transfer
+        )
 
     def is_misplaced(
         self, known: Mapping[BundleKind, Version], *, host_id: str, zone: str
--- a/foxtailway/distribution/event.py
+++ b/foxtailway/distribution/event.py
@@ -7,7 +7,7 @@
 
 from foxtailway.common.failure import Failure
 from foxtailway.distribution.message import ControlHello
-from foxtailway.distribution.placement import Topology
+from foxtailway.distribution.topology import Topology
 from foxtailway.model.bundle import Bundle, BundleKind
 
 __all__ = [
--- a/foxtailway/distribution/locality.py
+++ b/foxtailway/distribution/locality.py
@@ -1,7 +1,7 @@
 """Which nodes may fetch whole documents over a link between regions."""
 
 from foxtailway.distribution.message import PeerAddress
-from foxtailway.distribution.placement import Topology, list_first_hosts, to_peers
+from foxtailway.distribution.topology import Topology, list_first_hosts, to_peers
 from foxtailway.model.host import Host
 from foxtailway.settings.model import NodeSettings
 
--- a/foxtailway/distribution/placement.py
+++ b/foxtailway/distribution/placement.py
@@ -1,6 +1,5 @@
-"""Order of hosts and candidate parents, derived alike by every node."""
+"""Roles and candidate parents, derived alike by every node."""
 
-from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import IntEnum
 from heapq import nsmallest
@@ -8,17 +7,18 @@
 from xxhash import xxh3_64_intdigest
 
 from foxtailway.distribution.message import PeerAddress
+from foxtailway.distribution.topology import (
+    Topology,
+    list_region_hosts,
+    rotate,
+    score_key,
+    to_peers,
+    unique,
+)
 from foxtailway.model.host import Host
 from foxtailway.settings.model import NodeSettings, SeedAddress
 
-__all__ = [
-    "Placement",
-    "Role",
-    "Topology",
-    "list_first_hosts",
-    "place",
-    "to_peers",
-]
+__all__ = ["Placement", "Role", "place"]
 
 N_ALTERNATES = 4
 
@@ -32,14 +32,6 @@
     MEMBER = 3
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Topology:
-    """List the hosts of the mesh and the region of each zone."""
-
-    hosts: tuple[Host, ...]
-    zone_regions: Mapping[str, str]
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Placement:
     """Describe one host's place.
@@ -97,44 +89,6 @@
     return Placer(topology, settings=settings).place()
 
 
-def list_region_hosts(topology: Topology, region: str) -> list[Host]:
-    """Return the hosts of a region."""
-    regions = topology.zone_regions
-    zones = {zone for zone, name in regions.items() if name == region}
-    return [host for host in topology.hosts if host.zone in zones]
-
-
-def list_first_hosts(topology: Topology, *, region: str, n_hosts: int) -> list[Host]:
-    """Return the `n_hosts` hosts of a region that rank first."""
-    return nsmallest(n_hosts, list_region_hosts(topology, region), key=score_key)
-
-
-def rank_score(host_id: str) -> int:
-    """Return the rendezvous score of a host; the lowest one ranks first."""
-    return xxh3_64_intdigest(host_id.encode())
-
-
-def score_key(host: Host) -> tuple[int, str]:
-    """Return the sort key of a host."""
-    return rank_score(host.host_id), host.host_id
-
-
-def to_peers(hosts: Iterable[Host]) -> tuple[PeerAddress, ...]:
-    """Return the mesh addresses of `hosts`."""
-    return tuple(
-        PeerAddress(host_id=host.host_id, address=host.address, port=host.mesh_port)
-        for host in hosts
-    )
-
-
-def rotate(hosts: list[Host], offset: int) -> list[Host]:
-    """Return `hosts` starting at `offset`, so that load spreads over them."""
-    if not hosts:
-        return []
-    start = offset % len(hosts)
-    return hosts[start:] + hosts[:start]
-
-
 class Placer:
     """Compute the place of one host within one topology.
 
@@ -278,8 +232,3 @@
         n_zones = max(1, len(self.zones))
         zone_index = self.zones.index(self.zone) if self.zone in self.zones else 0
         return above + self.zone_rank * n_zones + zone_index
-
-
-def unique(hosts: list[Host]) -> list[Host]:
-    """Return `hosts` without repetitions, in order."""
-    return list({host.host_id: host for host in hosts}.values())
--- a/foxtailway/distribution/tests/harness.py
+++ b/foxtailway/distribution/tests/harness.py
@@ -29,8 +29,8 @@
     UpdatePart,
     Welcome,
 )
-from foxtailway.distribution.placement import Topology
 from foxtailway.distribution.tests.support import MESH, make_settings
+from foxtailway.distribution.topology import Topology
 from foxtailway.model import Bundle, BundleKind
 
 ActionType = TypeVar("ActionType")
--- a/foxtailway/distribution/tests/network.py
+++ b/foxtailway/distribution/tests/network.py
@@ -34,7 +34,7 @@
     TopologyUpdated,
     UpdateSent,
 )
-from foxtailway.distribution.placement import Topology
+from foxtailway.distribution.topology import Topology
 from foxtailway.model import (
     Bundle,
     BundleKind,
--- a/foxtailway/distribution/tests/test_admission.py
+++ b/foxtailway/distribution/tests/test_admission.py
@@ -9,9 +9,9 @@
     RefusedReason,
     SubscriptionRefused,
 )
-from foxtailway.distribution.placement import Topology
 from foxtailway.distribution.tests.harness import CoreHarness, make_hello, name_held
 from foxtailway.distribution.tests.support import make_config, make_host
+from foxtailway.distribution.topology import Topology
 from foxtailway.settings import SeedAddress
 
 FAN_OUT = 4
--- a/foxtailway/distribution/tests/test_convergence.py
+++ b/foxtailway/distribution/tests/test_convergence.py
@@ -9,7 +9,6 @@
 from hypothesis import strategies as st
 
 from foxtailway.distribution.event import Collected
-from foxtailway.distribution.placement import Topology
 from foxtailway.distribution.tests.network import FakeNetwork, is_bad
 from foxtailway.distribution.tests.support import (
     make_config,
@@ -17,6 +16,7 @@
     make_host_list,
     make_settings,
 )
+from foxtailway.distribution.topology import Topology
 from foxtailway.model import Bundle, BundleKind, VersionOrder, compare_versions
 from foxtailway.settings import SeedAddress
 
--- a/foxtailway/distribution/tests/test_locality.py
+++ b/foxtailway/distribution/tests/test_locality.py
@@ -6,13 +6,13 @@
     RefusedReason,
     SubscriptionRefused,
 )
-from foxtailway.distribution.placement import Topology, list_first_hosts
 from foxtailway.distribution.tests.harness import CoreHarness, make_hello, name_held
 from foxtailway.distribution.tests.support import (
     make_config,
     make_host,
     make_host_list,
 )
+from foxtailway.distribution.topology import Topology, list_first_hosts
 
 ZONE = "kumasi-a"
 TOPOLOGY = Topology(
--- a/foxtailway/distribution/tests/test_placement.py
+++ b/foxtailway/distribution/tests/test_placement.py
@@ -4,9 +4,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from foxtailway.distribution.placement import Placement, Role, Topology, place
+from foxtailway.distribution.placement import Placement, Role, place
 from foxtailway.distribution.poller import PlatformPoller
 from foxtailway.distribution.tests.support import make_host, make_settings
+from foxtailway.distribution.topology import Topology
 from foxtailway.model import BundleKind, Host
 
 ZONE_REGIONS = {
--- a/foxtailway/distribution/tests/test_uplink.py
+++ b/foxtailway/distribution/tests/test_uplink.py
@@ -11,7 +11,7 @@
     RefusedReason,
     SubscriptionRefused,
 )
-from foxtailway.distribution.placement import Role, Topology, place
+from foxtailway.distribution.placement import Role, place
 from foxtailway.distribution.tests.harness import FRESH, CoreHarness, make_hello
 from foxtailway.distribution.tests.support import (
     make_config,
@@ -19,6 +19,7 @@
     make_host_list,
     make_settings,
 )
+from foxtailway.distribution.topology import Topology
 
 N_HOSTS = 30
 ZONE_REGIONS = {"accra-a": "accra", "kumasi-a": "kumasi"}
