--- a/foxtailway/distribution/placement.py
+++ b/foxtailway/distribution/placement.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass
 from enum import IntEnum
-from heapq import nsmallest
 
 from xxhash import xxh3_64_intdigest
 
@@ -11,7 +10,9 @@
     Topology,
     list_region_hosts,
     rotate,
-    score_key,
+    score_hosts,
+    sort_hosts,
+    take_first,
     to_peers,
     unique,
 )
@@ -112,19 +113,18 @@
         self.regions = sorted(set(regions.values()) | {self.region})
         store_hosts = list_region_hosts(topology, self.store_region)
         region_hosts = store_hosts
-        if self.region != self.store_region:
-            region_hosts = list_region_hosts(topology, self.region)
-        zone_hosts = [host for host in region_hosts if host.zone == self.zone]
-        self.readers = nsmallest(self.sizes.n_readers, store_hosts, key=score_key)
+        self.readers = take_first(self.sizes.n_readers, score_hosts(store_hosts))
         self.gateways = self.readers
         if self.region != self.store_region:
-            self.gateways = nsmallest(
-                self.sizes.n_gateways, region_hosts, key=score_key
-            )
+            region_hosts = list_region_hosts(topology, self.region)
+            self.gateways = take_first(self.sizes.n_gateways, score_hosts(region_hosts))
         upper_ids = {host.host_id for host in self.gateways}
-        self.zone_order = sorted(
-            (host for host in zone_hosts if host.host_id not in upper_ids),
-            key=score_key,
+        self.zone_order = sort_hosts(
+            score_hosts(
+                host
+                for host in region_hosts
+                if host.zone == self.zone and host.host_id not in upper_ids
+            )
         )
         self.zone_rank = self.find_rank(self.zone_order)
         self.listed_seeds = self.find_listed_seeds(store_hosts, region_hosts)
--- a/foxtailway/distribution/topology.py
+++ b/foxtailway/distribution/topology.py
@@ -14,12 +14,17 @@
     "list_first_hosts",
     "list_region_hosts",
     "rotate",
-    "score_key",
+    "score_hosts",
+    "sort_hosts",
+    "take_first",
     "to_peers",
     "unique",
 ]
 
 
+ScoredHost = tuple[int, str, Host]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Topology:
     """List the hosts of the mesh and the region of each zone.
@@ -49,17 +54,24 @@
 
 def list_first_hosts(topology: Topology, *, region: str, n_hosts: int) -> list[Host]:
     """Return the `n_hosts` hosts of a region that rank first."""
-    return nsmallest(n_hosts, list_region_hosts(topology, region), key=score_key)
+    return take_first(n_hosts, score_hosts(list_region_hosts(topology, region)))
+
+
+def score_hosts(hosts: Iterable[Host]) -> list[ScoredHost]:
+    """Return the rendezvous scores of hosts; the lowest one ranks first."""
+    return [
+        (xxh3_64_intdigest(host.host_id.encode()), host.host_id, host) for host in hosts
+    ]
 
 
-def rank_score(host_id: str) -> int:
-    """Return the rendezvous score of a host; the lowest one ranks first."""
-    return xxh3_64_intdigest(host_id.encode())
+def take_first(n_hosts: int, scored: Iterable[ScoredHost]) -> list[Host]:
+    """Return the `n_hosts` hosts that rank first."""
+    return [host for _, _, host in nsmallest(n_hosts, scored)]
 
 
-def score_key(host: Host) -> tuple[int, str]:
-    """Return the sort key of a host."""
-    return rank_score(host.host_id), host.host_id
+def sort_hosts(scored: Iterable[ScoredHost]) -> list[Host]:
+    """Return hosts in the order of their rank."""
+    return [host for _, _, host in sorted(scored)]
 
 
 def to_peers(hosts: Iterable[Host]) -> tuple[PeerAddress, ...]:
