--- a/foxtailway/cli/main.py
+++ b/foxtailway/cli/main.py
@@ -14,6 +14,7 @@
 
 __all__ = ["main"]
 
+EXIT_INTERRUPTED = 130
 COMMANDS: tuple[Command, ...] = (
     CheckCommand(),
     RenderCommand(),
@@ -52,10 +53,13 @@
     Returns
     -------
     int
-        0 fine, 1 the finding is bad, 2 usage.
+        0 fine, 1 the finding is bad, 2 usage, 130 interrupted.
     """
     parsed = make_parser().parse_args(arguments)
-    return int(parsed.command.run(parsed))
+    try:
+        return int(parsed.command.run(parsed))
+    except KeyboardInterrupt:
+        return EXIT_INTERRUPTED
 
 
 if __name__ == "__main__":
--- a/foxtailway/node/daemon.py
+++ b/foxtailway/node/daemon.py
@@ -199,6 +199,7 @@
     def snapshot_applied(self, snapshot: Snapshot) -> None:
         """Put a snapshot in force."""
         self.state.swap(snapshot)
+        self.observer.snapshot_swapped(snapshot)
         own_cluster = snapshot.clusters.get(self.settings.upstream.service)
         if own_cluster is not None:
             self.gate.configure(own_cluster)
--- a/foxtailway/node/observer.py
+++ b/foxtailway/node/observer.py
@@ -6,6 +6,7 @@
 from foxtailway.common.failure import Failure, FailureKind, Step
 from foxtailway.distribution.observer import DistributionObserver
 from foxtailway.model.bundle import Bundle, BundleKind
+from foxtailway.model.snapshot import Route, Snapshot
 from foxtailway.model.version import Version
 from foxtailway.observe.audit import AuditAction, AuditTrail
 from foxtailway.observe.log import log_failure
@@ -55,6 +56,8 @@
         self.metrics = metrics
         self.logger = logger
         self.applied: dict[BundleKind, Bundle] = {}
+        self.routes: dict[str, Route] = {}
+        self.changed_routes: tuple[str, ...] = ()
         self.last_rejection: Rejection | None = None
         self.n_dropped_answers = 0
         self.n_refused_peers = 0
@@ -66,6 +69,15 @@
         bundle = self.applied.get(kind)
         return bundle.version if bundle is not None else None
 
+    def snapshot_swapped(self, snapshot: Snapshot) -> None:
+        """Note which routes differ from those of the snapshot before."""
+        routes = {route.name: route for route in snapshot.routes}
+        names = self.routes.keys() | routes.keys()
+        self.changed_routes = tuple(
+            sorted(name for name in names if self.routes.get(name) != routes.get(name))
+        )
+        self.routes = routes
+
     def on_applied(self, bundle: Bundle, *, delivered_by: str) -> None:
         """Note that the sink applied a bundle."""
         previous = self.applied.get(bundle.kind)
@@ -76,7 +88,9 @@
             kind=bundle.kind,
             version=bundle.version,
             changed_keys=list_changed_keys(previous, bundle),
+            changed_routes=self.changed_routes,
         )
+        self.changed_routes = ()
         self.metrics.count_version(kind=bundle.kind, action=AuditAction.APPLIED)
         self.logger.info(
             "version applied",
