Compare an endpoint without a recent latency by its load alone

Cause: an endpoint not used for 5 s got an assumed latency of 5 ms; beside endpoints of 100 ms it could draw 20 calls before its first answer. Change: without a recent latency two endpoints are compared by calls in flight, failures and refusals; the first new sample replaces the old average. Proof: staleness and the comparison were switched off alone, and a test was seen failing for each.

--- a/foxtailway/routing/endpoint.py
+++ b/foxtailway/routing/endpoint.py
@@ -6,7 +6,6 @@
 __all__ = ["FAILURE_KINDS", "EndpointState"]
 
 SMOOTHING = 0.25
-INITIAL_LATENCY_S = 0.005
 STALE_S = 5.0
 EJECTION_FAILURE_RATIO = 0.5
 PROBATION_FAILURE_RATIO = 0.4
@@ -35,8 +34,9 @@
     ----------
     n_in_flight : int
         Calls of this node that have not ended.
-    latency_s : float
-        Moving average of the latency of answered calls, in seconds.
+    latency_s, latency_at : float
+        Moving average of the latency of answered calls and the time of the
+        last one, in seconds.
     failure_ratio, refusal_ratio : float
         Moving averages of the share of failed and refused calls.
     ejected_until, draining_until : float
@@ -49,6 +49,7 @@
         "failure_ratio",
         "host",
         "host_id",
+        "latency_at",
         "latency_s",
         "n_ejections",
         "n_in_flight",
@@ -64,7 +65,8 @@
         self.observed_at = ready_at
         self.n_in_flight = 0
         self.n_ejections = 0
-        self.latency_s = INITIAL_LATENCY_S
+        self.latency_s = 0.0
+        self.latency_at = float("-inf")
         self.failure_ratio = 0.0
         self.refusal_ratio = 0.0
         self.ejected_until = float("-inf")
@@ -85,30 +87,35 @@
         self.refusal_ratio += SMOOTHING * (is_refused - self.refusal_ratio)
         if kind is ObservationKind.SUCCESS:
             self.failure_ratio -= SMOOTHING * self.failure_ratio
-            self.learn_latency(observation.latency_s)
+            self.learn_latency(observation.latency_s, now)
         elif kind in FAILURE_KINDS:
             self.failure_ratio += SMOOTHING * (1.0 - self.failure_ratio)
         if kind is ObservationKind.TIMED_OUT:
-            self.learn_latency(observation.latency_s)
+            self.learn_latency(observation.latency_s, now)
 
-    def learn_latency(self, latency_s: float) -> None:
-        """Move the average latency towards a new sample."""
+    def learn_latency(self, latency_s: float, now: float) -> None:
+        """Move the average latency towards a new sample or start it anew."""
+        if self.is_latency_stale(now):
+            self.latency_s = latency_s
         self.latency_s += SMOOTHING * (latency_s - self.latency_s)
+        self.latency_at = now
+
+    def is_latency_stale(self, now: float) -> bool:
+        """Whether the latency is too old to be compared."""
+        return now - self.latency_at >= STALE_S
 
     def refresh(self, now: float) -> None:
-        """Drop observations that are too old, so that the endpoint is tried."""
+        """Discount failures and refusals that are old."""
         if now - self.observed_at < STALE_S:
             return
         self.observed_at = now
-        self.latency_s = min(self.latency_s, INITIAL_LATENCY_S)
         self.failure_ratio *= 0.5
         self.refusal_ratio = 0.0
 
     def cost(self) -> float:
-        """Return the expected cost of one more call; the lower, the better."""
-        load = (self.n_in_flight + 1) * self.latency_s
+        """Return the expected cost of one more call apart from the latency."""
         penalty = 1.0 + FAILURE_WEIGHT * self.failure_ratio
-        return load * (penalty + REFUSAL_WEIGHT * self.refusal_ratio)
+        return (self.n_in_flight + 1) * (penalty + REFUSAL_WEIGHT * self.refusal_ratio)
 
     def warmth(self, slow_start_s: float, now: float) -> float:
         """Return the share of its full load that the endpoint may take."""
@@ -131,4 +138,5 @@
         self.ejected_until = now + duration_s
         self.ready_at = self.ejected_until
         self.observed_at = self.ejected_until
+        self.latency_at = float("-inf")
         self.failure_ratio = PROBATION_FAILURE_RATIO
--- a/foxtailway/routing/zone_balancer.py
+++ b/foxtailway/routing/zone_balancer.py
@@ -34,7 +34,8 @@
     tenth, time without refusals raises it; calls beyond the share, and calls
     that find every slot of the tier taken by this node alone, go to the next
     tier. Within a tier the cheaper of two random endpoints is chosen, by calls
-    in flight times latency, raised by failures and refusals.
+    in flight times latency, raised by failures and refusals. An endpoint without
+    a recent latency is compared without it, so that it is tried again.
 
     An endpoint whose calls fail is ejected, up to ``max_ejected_ratio`` of the
     cluster. Ejected endpoints are used when no other endpoint is left; draining
@@ -176,7 +177,12 @@
         second = self.draw(endpoints, cluster, now)
         first.refresh(now)
         second.refresh(now)
-        return first if first.cost() <= second.cost() else second
+        first_cost = first.cost()
+        second_cost = second.cost()
+        if not first.is_latency_stale(now) and not second.is_latency_stale(now):
+            first_cost *= first.latency_s
+            second_cost *= second.latency_s
+        return first if first_cost <= second_cost else second
 
     def draw(
         self, endpoints: list[EndpointState], cluster: Cluster, now: float
