Try a parent right before falling back to the platform

Cause: after a cut had healed, a node that had lost its parent could turn to the platform before its next retry of a parent, and fetch whole documents over the link instead of a delta.

Ruled out: a longer grace, which would delay nodes that have no parent left.

Change: a due fallback is put off once by two connect timeouts, and the next candidate is tried at once. The test fails without it (the platform is asked first). Its effect on the bytes of a healed link is not measured.

--- a/foxtailway/distribution/core.py
+++ b/foxtailway/distribution/core.py
@@ -146,10 +146,20 @@
             self.exchange.end_deferral()
         self.liveness.tick()
         is_lost = self.is_lost()
+        self.try_parent_before_platform()
         self.platform.tick(is_lost=is_lost)
         self.uplink.tick(is_lost=is_lost)
         self.context.actions.append(WakeAt(time_s=self.next_deadline_s()))
 
+    def try_parent_before_platform(self) -> None:
+        """Look for a parent at once when an orphan's fallback is due."""
+        if self.uplink.parent is not None:
+            return
+        wait_s = 2 * self.sizes.connect_timeout_s
+        now = self.context.now
+        if self.platform.poller.grant_last_try(now=now, wait_s=wait_s):
+            self.uplink.seeker.retry_at_s = now
+
     def next_deadline_s(self) -> float:
         """Return when the next decision may be due, in seconds."""
         now = self.context.now
--- a/foxtailway/distribution/poller.py
+++ b/foxtailway/distribution/poller.py
@@ -61,6 +61,7 @@
         self.n_documents = 0
         self.fallback_at_s: float | None = None
         self.repeat_at_s = 0.0
+        self.had_last_try = False
 
     def find_seed_rank(self) -> int:
         """Return the rank of a host that knows no topology yet."""
@@ -111,6 +112,18 @@
         """Forget the wait, since a fresh parent was found."""
         self.fallback_at_s = None
 
+    def grant_last_try(self, *, now: float, wait_s: float) -> bool:
+        """Put a due fallback off once, so that a parent is tried before it.
+
+        The platform sends whole documents, a parent only what changed.
+        """
+        is_due = self.fallback_at_s is not None and self.fallback_at_s <= now
+        if self.is_reader or not self.is_placed or not is_due or self.had_last_try:
+            return False
+        self.had_last_try = True
+        self.fallback_at_s = now + wait_s
+        return True
+
     def draw_stretch(self) -> float:
         """Return a random factor that lengthens an interval."""
         return 1.0 + self.random_source.uniform(0.0, MAX_JITTER)
@@ -131,6 +144,7 @@
             ]
         if self.fallback_at_s is None or self.fallback_at_s > now:
             return []
+        self.had_last_try = False
         self.repeat_at_s = now + self.draw_repeat_s()
         self.fallback_at_s = self.repeat_at_s
         return [
--- a/foxtailway/distribution/tests/test_uplink.py
+++ b/foxtailway/distribution/tests/test_uplink.py
@@ -294,6 +294,18 @@
 class FallbackTest(AttachedTestCase):
     role = Role.HEAD
 
+    def test_a_parent_is_tried_right_before_the_platform(self) -> None:
+        self.harness.receive(self.link_id, Goodbye(alternates=()))
+        self.harness.core.uplink.seeker.retry_at_s = 1000.0
+        n_actions = len(self.harness.actions)
+        while not self.harness.find(Dial, self.harness.actions[n_actions:]):
+            self.harness.advance(0.1)
+        actions = self.harness.actions[n_actions:]
+        self.assertEqual(self.harness.find(Collect, actions), [])
+        self.assertLess(self.harness.now, 10.0)
+        collected = self.harness.find(Collect, self.harness.advance(2.5))
+        self.assertEqual(len(collected), 2)
+
     def test_an_orphan_turns_to_the_platform_and_back(self) -> None:
         self.harness.receive(self.link_id, Goodbye(alternates=()))
         actions = []
