--- a/foxtailway/settings/schema.py
+++ b/foxtailway/settings/schema.py
@@ -101,7 +101,7 @@
         ),
         define_number(
             "n_readers",
-            "2",
+            "3",
             "1",
             "16",
             "Nodes of the store's region that watch the platform.",
@@ -131,14 +131,14 @@
         ),
         define_duration(
             "stale",
-            "30s",
+            "20s",
             *INTERVAL_RANGE,
             "Age of the platform's confirmation above which a parent is"
             " compared with others.",
         ),
         define_duration(
             "bootstrap_timeout",
-            "3s",
+            "2s",
             *TIMEOUT_RANGE,
             "Time for which a node without a version asks its peers.",
         ),
@@ -150,17 +150,17 @@
             "Peers that a node without a version asks.",
         ),
         define_duration(
-            "retry_base", "200ms", *INTERVAL_RANGE, "First interval of retries."
+            "retry_base", "100ms", *INTERVAL_RANGE, "First interval of retries."
         ),
         define_duration(
             "retry_max",
-            "20s",
+            "5s",
             *INTERVAL_RANGE,
             "Largest interval of retries; at least the first one.",
         ),
         define_duration(
             "connect_timeout",
-            "2s",
+            "1s",
             *TIMEOUT_RANGE,
             "Longest time to connect to a peer.",
         ),
