Refuse oversized messages before they are sent

Cause: a message above the size limit was written whole; the other end then ended the stream and with it every other call. Messages close to the limit that followed each other were taken for one that is too large, since the unpacker's buffer had no room for the chunk read ahead. A peer that does not read let the write buffer grow without bound, and text without an encoding raised out of send.

Change: send returns a failure of kind TOO_LARGE, INVALID or UNAVAILABLE with nothing written and the stream unharmed; the buffer holds one chunk more than the largest message, and the exact size is checked when more is needed.

Before: the four tests of test_stream fail; after: they pass.

--- a/foxtailway/transport/stream.py
+++ b/foxtailway/transport/stream.py
@@ -7,7 +7,7 @@
 
 import msgpack
 from expression import Error, Ok, Result
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 from tornado.tcpclient import TCPClient
 
 from foxtailway.common.failure import Failure, FailureKind, Step
@@ -16,6 +16,7 @@
 __all__ = ["Dialer", "MessageStream", "TcpDialer", "TcpMessageStream"]
 
 READ_CHUNK_BYTES = 65_536
+N_BUFFERED_MESSAGES = 4
 USER_TIMEOUT_MS = 5_000
 
 
@@ -36,7 +37,17 @@
 
     @abstractmethod
     async def send(self, message: object) -> Result[None, Failure]:
-        """Send a message and wait until the kernel accepted it."""
+        """Send a message and wait until the kernel accepted it.
+
+        Returns
+        -------
+        Result
+            A failure of kind ``CLOSED`` when the stream ended, so that a part
+            may have been sent. Any other kind means that nothing was sent and
+            the stream goes on: ``TOO_LARGE`` above the message size,
+            ``INVALID`` for a message without encoding, and ``UNAVAILABLE``
+            while too much waits for a slow peer.
+        """
 
     @abstractmethod
     async def receive(self) -> Result[Any, Failure]:
@@ -69,7 +80,7 @@
     peer : str
         ``address:port`` of the other side.
     max_message_size : int
-        Largest accepted message, in bytes.
+        Largest message that is sent or accepted, in bytes.
     """
 
     def __init__(
@@ -85,17 +96,27 @@
         self.peer = peer
         self.n_bytes_sent = 0
         self.n_bytes_received = 0
+        self.max_message_size = max_message_size
         self.unpacker = msgpack.Unpacker(
-            max_buffer_size=max_message_size,
+            max_buffer_size=max_message_size + READ_CHUNK_BYTES,
             max_str_len=max_message_size,
             max_bin_len=max_message_size,
         )
+        stream.max_write_buffer_size = N_BUFFERED_MESSAGES * max_message_size
 
     async def send(self, message: object) -> Result[None, Failure]:
         """Send a message and wait until the kernel accepted it."""
-        encoded = self.codec.encode(message)
+        try:
+            encoded = self.codec.encode(message)
+        except (UnicodeEncodeError, OverflowError) as error:
+            return Error(self.fail(Step.SEND, FailureKind.INVALID, error))
+        if len(encoded) > self.max_message_size:
+            error = ValueError(f"message of {len(encoded)} bytes")
+            return Error(self.fail(Step.SEND, FailureKind.TOO_LARGE, error))
         try:
             await self.stream.write(encoded)
+        except StreamBufferFullError as error:
+            return Error(self.fail(Step.SEND, FailureKind.UNAVAILABLE, error))
         except (StreamClosedError, OSError) as error:
             return Error(self.fail(Step.SEND, FailureKind.CLOSED, error))
         self.n_bytes_sent += len(encoded)
@@ -111,6 +132,10 @@
                 pass
             except (ValueError, msgpack.UnpackException, RecursionError) as error:
                 return Error(self.fail(Step.DECODE, FailureKind.INVALID, error))
+            n_pending = self.n_bytes_received - self.unpacker.tell()
+            if n_pending > self.max_message_size:
+                error = ValueError(f"message of more than {n_pending} bytes")
+                return Error(self.fail(Step.DECODE, FailureKind.TOO_LARGE, error))
             try:
                 chunk = await self.stream.read_bytes(READ_CHUNK_BYTES, partial=True)
             except (StreamClosedError, OSError) as error:
--- /dev/null
+++ b/foxtailway/transport/tests/test_stream.py
@@ -0,0 +1,96 @@
+import asyncio
+import unittest
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+
+from tornado.testing import bind_unused_port
+
+from foxtailway.common import FailureKind, Step
+from foxtailway.transport.codec import MessageCodec
+from foxtailway.transport.listener import MeshListener, StreamAcceptor
+from foxtailway.transport.stream import (
+    N_BUFFERED_MESSAGES,
+    MessageStream,
+    TcpDialer,
+)
+
+MAX_MESSAGE_SIZE = 400_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Parcel:
+    body: bytes
+
+
+class EchoAcceptor(StreamAcceptor):
+    """Send every message back."""
+
+    async def accept(self, stream: MessageStream) -> None:
+        while (received := await stream.receive()).is_ok():
+            await stream.send(received.ok)
+
+
+class SilentAcceptor(StreamAcceptor):
+    """Keep streams open without reading from them."""
+
+    async def accept(self, stream: MessageStream) -> None:
+        await asyncio.Event().wait()
+
+
+class TcpMessageStreamTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.stack = AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+
+    async def dial(self, acceptor: StreamAcceptor) -> MessageStream:
+        codec = MessageCodec(message_types=(Parcel,))
+        listener = MeshListener(
+            codec=codec, max_message_size=MAX_MESSAGE_SIZE, acceptor=acceptor
+        )
+        socket, port = bind_unused_port()
+        listener.add_socket(socket)
+        self.stack.callback(listener.stop)
+        dialer = TcpDialer(
+            codec=codec,
+            max_message_size=MAX_MESSAGE_SIZE,
+            source_address="127.0.0.1",
+        )
+        dialled = await dialer.dial(address="127.0.0.1", port=port, timeout_s=2.0)
+        self.stack.callback(dialled.ok.close)
+        return dialled.ok
+
+    async def test_oversized_message_is_refused_and_the_stream_goes_on(self) -> None:
+        stream = await self.dial(EchoAcceptor())
+        sent = await stream.send(Parcel(body=bytes(MAX_MESSAGE_SIZE + 1)))
+        self.assertEqual(sent.error.step, Step.SEND)
+        self.assertEqual(sent.error.kind, FailureKind.TOO_LARGE)
+        self.assertEqual(stream.n_bytes_sent, 0)
+        parcel = Parcel(body=b"small")
+        self.assertTrue((await stream.send(parcel)).is_ok())
+        self.assertEqual((await stream.receive()).ok, parcel)
+
+    async def test_largest_messages_pass_close_to_each_other(self) -> None:
+        stream = await self.dial(EchoAcceptor())
+        parcel = Parcel(body=bytes(MAX_MESSAGE_SIZE - 10))
+        sends = [asyncio.ensure_future(stream.send(parcel)) for _ in range(4)]
+        for _ in range(4):
+            received = await stream.receive()
+            self.assertTrue(received.is_ok(), received)
+        await asyncio.wait(sends)
+
+    async def test_peer_that_does_not_read_costs_bounded_memory(self) -> None:
+        stream = await self.dial(SilentAcceptor())
+        parcel = Parcel(body=bytes(MAX_MESSAGE_SIZE - 10))
+        sends = [asyncio.ensure_future(stream.send(parcel)) for _ in range(100)]
+        done, waiting = await asyncio.wait(sends, timeout=0.2)
+        self.assertLessEqual(len(waiting), N_BUFFERED_MESSAGES)
+        kinds = {task.result().error.kind for task in done if task.result().is_error()}
+        self.assertEqual(kinds, {FailureKind.UNAVAILABLE})
+        stream.close()
+        await asyncio.wait(sends)
+
+    async def test_text_that_has_no_encoding_is_refused(self) -> None:
+        stream = await self.dial(EchoAcceptor())
+        sent = await stream.send(Parcel(body="\ud800"))
+        self.assertEqual(sent.error.kind, FailureKind.INVALID)
+        self.assertTrue((await stream.send(Parcel(body=b"next"))).is_ok())
