Settle unsent and wrongly answered calls truly

Causes: a request that the stream refused before writing it was reported as lost with an unknown outcome and ended the stream of all others; an answer of another kind than asked for reached the dispatcher as if it were a refusal; a pool that was closed while a stream was being opened kept that stream open.

Change: unsent requests are refused as not run with their reason, other answers count as lost, and a closed pool drops streams that open late.

Before: test_request_that_was_not_sent..., test_answer_of_another_kind... and test_closed_pool_opens_no_channel fail; after: they pass. The other tests of the module cover late, duplicate and foreign answers, silent and ended streams and greetings.

--- a/foxtailway/proxy/channel.py
+++ b/foxtailway/proxy/channel.py
@@ -33,6 +33,11 @@
 
 GENERATION = 1
 ANSWER_MARGIN_S = 0.05
+UNSENT_REASONS = {
+    FailureKind.TOO_LARGE: RefusalReason.TOO_LARGE,
+    FailureKind.INVALID: RefusalReason.MALFORMED,
+    FailureKind.UNAVAILABLE: RefusalReason.OVERLOADED,
+}
 
 
 class CallTransport(ABC):
@@ -129,7 +134,9 @@
             return Ok(answer)
         if isinstance(answer, CallRefusal):
             return Error(refusal_of(answer))
-        return Error(answer)
+        if isinstance(answer, Refusal):
+            return Error(answer)
+        return Error(self.refuse(Outcome.UNKNOWN, RefusalReason.LOST))
 
     async def query_key(self, *, key: str, window_s: float) -> bool:
         """Return whether the node gave up `key`; False when unsure."""
@@ -150,6 +157,10 @@
             async with asyncio.timeout(timeout_s):
                 self.session.mark_sent(call_id)
                 sent = await self.stream.send(message)
+                if sent.is_error() and sent.error.kind in UNSENT_REASONS:
+                    self.session.abandon(call_id)
+                    reason = UNSENT_REASONS[sent.error.kind]
+                    return self.refuse(Outcome.NOT_RUN, reason)
                 if sent.is_error():
                     self.close(sent.error)
                 return await future
@@ -293,6 +304,7 @@
         self.on_open = on_open
         self.channels: dict[str, CallChannel] = {}
         self.opening: dict[str, asyncio.Task] = {}
+        self.is_closed = False
 
     async def channel(self, host: Host) -> Result[CallChannel, Failure]:
         """Return an open channel to `host`, connecting when there is none."""
@@ -316,6 +328,8 @@
             return Error(dialled.error)
         stream = dialled.ok
         greeted = await self.greet(host, stream, timeout_s)
+        if self.is_closed:
+            greeted = Error(hello_failure(stream, FailureKind.CLOSED, "node stops"))
         if greeted.is_error():
             stream.close()
             return Error(greeted.error)
@@ -366,7 +380,8 @@
                 del self.channels[host_id]
 
     def close(self) -> None:
-        """Close all channels."""
+        """Close all channels, also those that are still being opened."""
+        self.is_closed = True
         for channel in list(self.channels.values()):
             channel.close()
         self.channels.clear()
--- /dev/null
+++ b/foxtailway/proxy/tests/test_channel.py
@@ -0,0 +1,230 @@
+import asyncio
+import unittest
+from contextlib import AsyncExitStack
+
+from foxtailway.common import FailureKind, ManualClock
+from foxtailway.proxy.channel import CallChannel, ChannelPool
+from foxtailway.proxy.message import (
+    CallCancel,
+    CallGoodbye,
+    CallHello,
+    CallRequest,
+    CallWelcome,
+    KeyAnswer,
+)
+from foxtailway.proxy.tests.fakes import (
+    FakeDialer,
+    FakeStream,
+    RecordingObserver,
+    make_call_request,
+    make_channel,
+    make_node_settings,
+    make_response,
+    run_ready,
+)
+from foxtailway.routing.outcome import Outcome, RefusalReason
+from foxtailway.routing.tests.builders import make_host
+
+
+class CallChannelTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.stack = AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        self.clock = ManualClock()
+        self.observer = RecordingObserver()
+        self.stream = FakeStream()
+        self.channel = self.open(self.stream)
+
+    def open(self, stream: FakeStream, **calls: object) -> CallChannel:
+        channel = make_channel(
+            stream, clock=self.clock, observer=self.observer, **calls
+        )
+        self.stack.callback(channel.close)
+        return channel
+
+    async def start(self, channel: CallChannel | None = None, **changes: object):
+        call = (channel or self.channel).call(make_call_request(**changes))
+        task = asyncio.ensure_future(call)
+        await run_ready()
+        return task
+
+    def assert_refused(self, result, outcome: Outcome, reason: RefusalReason) -> None:
+        self.assertEqual((result.error.outcome, result.error.reason), (outcome, reason))
+
+    async def test_answers_reach_their_calls_in_any_order(self) -> None:
+        first = await self.start()
+        second = await self.start()
+        self.stream.feed(make_response(call_id=2, body=b"second"))
+        self.stream.feed(make_response(call_id=1, body=b"first"))
+        self.assertEqual((await first).ok.body, b"first")
+        self.assertEqual((await second).ok.body, b"second")
+        self.assertEqual(self.observer.n_dropped, 0)
+
+    async def test_late_duplicate_and_foreign_answers_are_dropped(self) -> None:
+        late = await self.start()
+        late.cancel()
+        await run_ready()
+        answered = await self.start()
+        self.stream.feed(make_response(call_id=2), make_response(call_id=2))
+        self.stream.feed(make_response(call_id=1), make_response(call_id=77))
+        self.assertTrue((await answered).is_ok())
+        await run_ready()
+        self.assertEqual(self.observer.n_dropped, 3)
+        self.assertFalse(self.channel.is_closed)
+
+    async def test_cancelled_call_is_cancelled_at_the_other_end(self) -> None:
+        call = await self.start()
+        call.cancel()
+        await run_ready()
+        self.assertEqual(self.stream.list_sent(CallCancel), [CallCancel(call_id=1)])
+        self.assertEqual(self.channel.futures, {})
+        self.assertEqual(self.channel.session.calls, {})
+
+    async def test_expired_call_has_an_unknown_outcome(self) -> None:
+        result = await (await self.start(remaining_s=0.01))
+        self.assert_refused(result, Outcome.UNKNOWN, RefusalReason.EXPIRED)
+        await run_ready()
+        self.assertEqual(len(self.stream.list_sent(CallCancel)), 1)
+
+    async def test_ended_stream_settles_its_calls_as_unknown(self) -> None:
+        calls = [await self.start(), await self.start()]
+        self.stream.end()
+        for call in calls:
+            self.assert_refused(await call, Outcome.UNKNOWN, RefusalReason.LOST)
+        result = await (await self.start())
+        self.assert_refused(result, Outcome.NOT_RUN, RefusalReason.NOT_READY)
+
+    async def test_silent_stream_is_left_while_a_new_one_works(self) -> None:
+        silent = FakeStream()
+        channel = self.open(silent, heartbeat_s=0.01, silence_s=3.0)
+        call = await self.start(channel)
+        self.clock.advance(3.1)
+        self.assert_refused(await call, Outcome.UNKNOWN, RefusalReason.LOST)
+        self.assertTrue(silent.is_closed)
+        self.assertEqual(self.observer.failures[0].kind, FailureKind.TIMEOUT)
+        other = await self.start()
+        self.stream.feed(make_response(call_id=1))
+        self.assertTrue((await other).is_ok())
+
+    async def test_full_stream_refuses_as_not_run(self) -> None:
+        channel = self.open(FakeStream(), max_in_flight=1)
+        await self.start(channel)
+        result = await (await self.start(channel))
+        self.assert_refused(result, Outcome.NOT_RUN, RefusalReason.OVERLOADED)
+
+    async def test_request_that_was_not_sent_is_not_run_and_ends_no_other(self) -> None:
+        other = await self.start()
+        for kind, reason in (
+            (FailureKind.TOO_LARGE, RefusalReason.TOO_LARGE),
+            (FailureKind.INVALID, RefusalReason.MALFORMED),
+            (FailureKind.UNAVAILABLE, RefusalReason.OVERLOADED),
+        ):
+            self.stream.send_failure = self.stream.fail(kind)
+            self.assert_refused(await (await self.start()), Outcome.NOT_RUN, reason)
+        self.stream.send_failure = None
+        self.stream.feed(make_response(call_id=1))
+        self.assertTrue((await other).is_ok())
+        self.assertEqual(self.stream.list_sent(CallCancel), [])
+
+    async def test_answer_of_another_kind_is_not_passed_on(self) -> None:
+        call = await self.start()
+        self.stream.feed(KeyAnswer(call_id=1, is_surrendered=True))
+        self.assert_refused(await call, Outcome.UNKNOWN, RefusalReason.LOST)
+
+    async def test_unexpected_message_ends_the_stream(self) -> None:
+        call = await self.start()
+        self.stream.feed(make_call_request())
+        self.assert_refused(await call, Outcome.UNKNOWN, RefusalReason.LOST)
+        self.assertEqual(self.observer.failures[0].kind, FailureKind.INVALID)
+
+    async def test_goodbye_is_passed_on_and_answers_still_arrive(self) -> None:
+        call = await self.start()
+        self.stream.feed(CallGoodbye(host_id="accra-a-2"), make_response())
+        self.assertTrue((await call).is_ok())
+        self.assertEqual(self.observer.draining, ["accra-a-2"])
+
+    async def test_key_is_surrendered_only_by_an_answer_that_says_so(self) -> None:
+        for answer, expected in (
+            (KeyAnswer(call_id=1, is_surrendered=True), True),
+            (KeyAnswer(call_id=2, is_surrendered=False), False),
+            (make_response(call_id=3), False),
+        ):
+            query = self.channel.query_key(key="key", window_s=60.0)
+            self.stream.feed(answer)
+            self.assertIs(await query, expected)
+        self.stream.end()
+        await run_ready()
+        self.assertFalse(await self.channel.query_key(key="key", window_s=60.0))
+
+
+class ChannelPoolTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.stack = AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+
+    def make_pool(self, *streams: FakeStream, **calls: object) -> ChannelPool:
+        pool = ChannelPool(
+            settings=make_node_settings(**calls),
+            dialer=FakeDialer(*streams),
+            clock=ManualClock(),
+            observer=RecordingObserver(),
+        )
+        self.stack.callback(pool.close)
+        return pool
+
+    async def test_calls_to_one_host_share_a_stream(self) -> None:
+        stream = FakeStream()
+        pool = self.make_pool(stream)
+        opening = [pool.channel(make_host("accra-a-2")) for _ in range(3)]
+        stream.feed(CallWelcome(host_id="accra-a-2"))
+        channels = [opened.ok for opened in await asyncio.gather(*opening)]
+        self.assertEqual(len(set(map(id, channels))), 1)
+        self.assertEqual(len(stream.list_sent(CallHello)), 1)
+
+    async def test_ended_stream_is_replaced(self) -> None:
+        streams = FakeStream(), FakeStream()
+        pool = self.make_pool(*streams)
+        for stream in streams:
+            stream.feed(CallWelcome(host_id="accra-a-2"))
+            opened = await pool.channel(make_host("accra-a-2"))
+            self.assertIs(opened.ok.stream, stream)
+            stream.end()
+            await run_ready()
+
+    async def test_wrong_greetings_are_refused(self) -> None:
+        for greeting in (CallWelcome(host_id="other"), make_response()):
+            stream = FakeStream()
+            stream.feed(greeting)
+            opened = await self.make_pool(stream).channel(make_host("accra-a-2"))
+            self.assertEqual(opened.error.kind, FailureKind.REFUSED)
+            self.assertTrue(stream.is_closed)
+        silent = self.make_pool(FakeStream(), connect_timeout_s=0.01)
+        opened = await silent.channel(make_host("accra-a-2"))
+        self.assertEqual(opened.error.kind, FailureKind.TIMEOUT)
+
+    async def test_closed_pool_opens_no_channel(self) -> None:
+        stream = FakeStream()
+        pool = self.make_pool(stream)
+        opening = asyncio.ensure_future(pool.channel(make_host("accra-a-2")))
+        await run_ready()
+        pool.close()
+        stream.feed(CallWelcome(host_id="accra-a-2"))
+        opened = await opening
+        self.assertEqual(opened.error.kind, FailureKind.CLOSED)
+        self.assertEqual(pool.channels, {})
+        self.assertTrue(stream.is_closed)
+
+    async def test_unlisted_host_is_left_when_idle(self) -> None:
+        stream = FakeStream()
+        pool = self.make_pool(stream)
+        stream.feed(CallWelcome(host_id="accra-a-2"))
+        channel = (await pool.channel(make_host("accra-a-2"))).ok
+        call = asyncio.ensure_future(channel.call(make_call_request()))
+        await run_ready()
+        pool.retain(frozenset())
+        self.assertFalse(stream.is_closed)
+        stream.feed(make_response())
+        await call
+        pool.retain(frozenset())
+        self.assertTrue(stream.is_closed)
+        self.assertEqual(len(stream.list_sent(CallRequest)), 1)
