Await no send while a responder reads its stream

Causes: the read loop awaited heartbeat replies and refusals, so a peer that reads slowly stopped its own cancellations from being read; a heartbeat flood queued one reply each; requests counted as ended before their answer was written, so answers to a slow peer piled up; goodbyes were sent one after the other, each waiting for the peer before it; an answer above the message size was lost without a refusal; windows that are no finite number entered the ledger's order of expiry.

Ruled out: two nodes that send each other large answers can't block each other, since each direction of calls has its own stream and the calling end never awaits a send while it reads.

--- a/foxtailway/proxy/responder.py
+++ b/foxtailway/proxy/responder.py
@@ -1,6 +1,8 @@
 """Call streams that other nodes opened."""
 
 import asyncio
+from dataclasses import replace
+from math import isfinite
 
 from expression import Result
 
@@ -50,6 +52,7 @@
         self.host_id = host_id
         self.heard_at = now
         self.tokens: dict[int, CancelToken] = {}
+        self.is_replying = False
 
 
 class CallResponder:
@@ -115,7 +118,7 @@
         watchdog = asyncio.ensure_future(self.watch(served))
         try:
             if self.is_draining:
-                await self.say_goodbye(served)
+                self.spawn(self.say_goodbye(served))
             await self.read(served)
         finally:
             watchdog.cancel()
@@ -145,38 +148,52 @@
                 return
             served.heard_at = self.clock.now()
             self.pauses.observe(served.heard_at)
-            failure = await self.handle(served, received.ok)
+            failure = self.handle(served, received.ok)
             if failure is not None:
                 self.observer.peer_refused(failure)
                 return
 
-    async def handle(self, served: ServedStream, message: object) -> Failure | None:
-        """Handle one message and return a failure of the protocol, if any."""
+    def handle(self, served: ServedStream, message: object) -> Failure | None:
+        """Handle one message and return a failure of the protocol, if any.
+
+        Nothing is awaited here: a peer that reads slowly must not keep its own
+        cancellations from being read.
+        """
         match message:
             case CallRequest():
-                return await self.handle_request(served, message)
+                return self.handle_request(served, message)
             case CallCancel():
                 token = served.tokens.get(message.call_id)
                 if token is not None:
                     token.cancel()
             case CallHeartbeat():
-                reply = CallHeartbeat(sequence=message.sequence, is_reply=True)
-                await served.stream.send(reply)
+                if not served.is_replying:
+                    served.is_replying = True
+                    self.spawn(self.reply_heartbeat(served, message.sequence))
             case KeyQuery():
+                if not isfinite(message.window_s):
+                    return self.protocol_failure(served, "window of a KeyQuery")
                 self.spawn(self.answer_query(served, message))
             case _:
                 return self.protocol_failure(served, type(message).__name__)
         return None
 
-    async def handle_request(
+    async def reply_heartbeat(self, served: ServedStream, sequence: int) -> None:
+        """Echo a heartbeat; only one reply at a time waits for the peer."""
+        await served.stream.send(CallHeartbeat(sequence=sequence, is_reply=True))
+        served.is_replying = False
+
+    def handle_request(
         self, served: ServedStream, request: CallRequest
     ) -> Failure | None:
         """Start to serve a request, within the bounds of the stream."""
         if request.call_id in served.tokens:
             return self.protocol_failure(served, "CallRequest with a used identifier")
+        if not isfinite(request.window_s):
+            return self.protocol_failure(served, "window of a CallRequest")
         if len(served.tokens) >= self.settings.calls.max_in_flight:
             refusal = self.refuse(RefusalReason.OVERLOADED)
-            await served.stream.send(refusal_message(request.call_id, refusal))
+            self.spawn(self.answer_refusal(served, request, refusal))
             return None
         token = CancelToken()
         served.tokens[request.call_id] = token
@@ -186,17 +203,20 @@
     async def serve(
         self, served: ServedStream, request: CallRequest, token: CancelToken
     ) -> None:
-        """Run a request and send its answer."""
+        """Run a request and send its answer.
+
+        The request counts as open until its answer is written, which bounds
+        the answers that wait for a slow peer.
+        """
         try:
             if self.is_draining:
-                await self.answer_refusal(
-                    served, request, self.refuse(RefusalReason.DRAINING)
-                )
+                refusal = self.refuse(RefusalReason.DRAINING)
+                await self.answer_refusal(served, request, refusal)
                 return
             result = await self.runner.run(request, token=token)
+            await self.answer(served, request, result)
         finally:
             served.tokens.pop(request.call_id, None)
-        await self.answer(served, request, result)
 
     async def answer(
         self,
@@ -205,16 +225,25 @@
         result: Result[CallResponse, Refusal],
     ) -> None:
         """Send the result of a request."""
-        if result.is_ok():
-            await served.stream.send(result.ok)
-        else:
+        if result.is_error():
             await self.answer_refusal(served, request, result.error)
+            return
+        sent = await served.stream.send(result.ok)
+        if sent.is_ok() or sent.error.kind is FailureKind.CLOSED:
+            return
+        reason = RefusalReason.MALFORMED
+        if sent.error.kind is FailureKind.TOO_LARGE:
+            reason = RefusalReason.TOO_LARGE
+        refusal = replace(self.refuse(reason), outcome=Outcome.UNKNOWN)
+        await self.answer_refusal(served, request, refusal)
 
     async def answer_refusal(
         self, served: ServedStream, request: CallRequest, refusal: Refusal
     ) -> None:
-        """Send a refusal."""
-        await served.stream.send(refusal_message(request.call_id, refusal))
+        """Send a refusal; a peer that leaves no room for it is left."""
+        sent = await served.stream.send(refusal_message(request.call_id, refusal))
+        if sent.is_error():
+            served.stream.close()
 
     async def answer_query(self, served: ServedStream, query: KeyQuery) -> None:
         """Give up a key, unless it may have run here."""
@@ -246,7 +275,7 @@
         """Refuse new requests and wait for those that run."""
         self.is_stopping = True
         for served in list(self.served):
-            await self.say_goodbye(served)
+            self.spawn(self.say_goodbye(served))
         running = [task for task in self.tasks if not task.done()]
         if running:
             await asyncio.wait(running, timeout=timeout_s)
