Refuse answers that HTTP cannot carry, and long keys

Causes: a header value or status that HTTP forbids raised while the answer was written and left the client waiting until its timeout, as did any exception of the handler; idempotency keys were cut at 200 characters, so that two long keys became one and the second request was refused as a repeat.

Change: answers are checked before the first byte is written and replaced by a 502 of unknown outcome; a failing handler closes its connection; longer keys are kept whole and refused as malformed. A refusal for an answer that is too large or malformed is a 502, since the request is not at fault.

--- a/foxtailway/proxy/dispatcher.py
+++ b/foxtailway/proxy/dispatcher.py
@@ -25,6 +25,7 @@
 
 __all__ = ["CallDispatcher"]
 
+MAX_KEY_LENGTH = 200
 OBSERVATIONS = {
     RefusalReason.OVERLOADED: ObservationKind.REFUSED_OVERLOAD,
     RefusalReason.DRAINING: ObservationKind.REFUSED_DRAINING,
@@ -130,6 +131,8 @@
             return self.refuse(RefusalReason.TOO_LARGE)
         if len(call.body) > listener.max_body_size:
             return self.refuse(RefusalReason.TOO_LARGE)
+        if len(call.idempotency_key) > MAX_KEY_LENGTH:
+            return self.refuse(RefusalReason.MALFORMED)
         if call.n_hops >= listener.max_hops:
             return self.refuse(RefusalReason.HOP_LIMIT)
         route = self.state.route_table.find(call.method, call.path)
--- a/foxtailway/proxy/header.py
+++ b/foxtailway/proxy/header.py
@@ -59,6 +59,8 @@
     RefusalReason.REPEATED: 409,
     RefusalReason.LOST: 502,
 }
+BAD_GATEWAY = 502
+ANSWER_FAULTS = frozenset({RefusalReason.TOO_LARGE, RefusalReason.MALFORMED})
 
 
 def forwardable_headers(headers: HTTPHeaders) -> tuple[Header, ...]:
@@ -92,7 +94,7 @@
 
 
 def outcome_headers(
-    *, outcome: Outcome, refusal: Refusal | None = None
+    outcome: Outcome, refusal: Refusal | None = None
 ) -> Iterable[Header]:
     """Return the headers that tell the caller what became of its request."""
     yield Header(name=OUTCOME_HEADER, value=outcome.value)
@@ -105,7 +107,13 @@
 
 
 def status_of_refusal(refusal: Refusal) -> int:
-    """Return the HTTP status of a refusal."""
+    """Return the HTTP status of a refusal.
+
+    An answer that is too large or malformed is no fault of the request.
+    """
+    is_unknown = refusal.outcome is Outcome.UNKNOWN
+    if is_unknown and refusal.reason in ANSWER_FAULTS:
+        return BAD_GATEWAY
     return REFUSAL_STATUS[refusal.reason]
 
 
--- a/foxtailway/proxy/ingress.py
+++ b/foxtailway/proxy/ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from http.client import responses
 
@@ -9,6 +10,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPHeaders,
+    HTTPInputError,
     HTTPOutputError,
     HTTPServerRequest,
     ResponseStartLine,
@@ -25,12 +27,11 @@
     status_of_refusal,
 )
 from foxtailway.proxy.message import CallResponse, Header
-from foxtailway.routing.outcome import Outcome, Refusal
+from foxtailway.routing.outcome import Outcome, Refusal, RefusalReason
 
 __all__ = ["CallHandler", "HttpIngress", "InboundCall"]
 
 MAX_HEADER_SIZE_BYTES = 65_536
-MAX_KEY_LENGTH = 200
 BODY_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 75.0
 CLOSE_TIMEOUT_S = 1.0
@@ -144,14 +145,14 @@
     async def serve(self, request: HTTPServerRequest) -> None:
         """Carry one request and write its answer."""
         call = read_call(request, is_trusted=self.is_trusted, service=self.service)
-        result = await self.handler.handle(call)
         try:
-            if result.is_ok():
-                await write_answer(request, result.ok, is_last=self.is_stopping)
-            else:
-                await write_refusal(request, result.error, is_last=self.is_stopping)
+            result = await self.handler.handle(call)
+            await write_result(request, result, is_last=self.is_stopping)
         except (StreamClosedError, HTTPOutputError):
             return
+        except Exception:
+            request.connection.close()
+            raise
 
 
 def read_call(
@@ -176,27 +177,57 @@
         caller=service or request.remote_ip or "",
         n_hops=n_hops or 0,
         remaining_s=None if remaining_ms is None else remaining_ms / 1000,
-        idempotency_key=headers.get(IDEMPOTENCY_HEADER, "")[:MAX_KEY_LENGTH],
+        idempotency_key=headers.get(IDEMPOTENCY_HEADER, ""),
         is_local=is_trusted,
     )
 
 
-async def write_answer(
-    request: HTTPServerRequest, answer: CallResponse, *, is_last: bool
+async def write_result(
+    request: HTTPServerRequest,
+    result: Result[CallResponse, Refusal],
+    *,
+    is_last: bool,
 ) -> None:
-    """Write the whole answer of an upstream."""
-    headers = [*answer.headers, *outcome_headers(outcome=Outcome.RAN)]
-    await write_response(request, answer.status, headers, answer.body, is_last)
+    """Write an answer, or a refusal in place of one that HTTP cannot carry."""
+    if result.is_error():
+        await write_refusal(request, result.error, is_last=is_last)
+        return
+    try:
+        headers = make_headers((*result.ok.headers, *outcome_headers(Outcome.RAN)))
+        check_status(result.ok.status)
+    except (HTTPInputError, ValueError):
+        refusal = Refusal(
+            outcome=Outcome.UNKNOWN,
+            reason=RefusalReason.MALFORMED,
+            retry_after_s=0.0,
+            host_id="",
+        )
+        await write_refusal(request, refusal, is_last=is_last)
+        return
+    await write_response(request, result.ok.status, headers, result.ok.body, is_last)
+
+
+def make_headers(headers: Iterable[Header]) -> HTTPHeaders:
+    """Return checked headers; those with forbidden characters raise."""
+    checked = HTTPHeaders()
+    for header in headers:
+        checked.add(header.name, header.value)
+        header.value.encode("latin-1")
+    return checked
+
+
+def check_status(status: int) -> None:
+    """Raise for a status that is not one of a final answer."""
+    if not 200 <= status <= 599:
+        raise ValueError(f"status {status}")
 
 
 async def write_refusal(
     request: HTTPServerRequest, refusal: Refusal, *, is_last: bool
 ) -> None:
     """Write a refusal and what became of the request."""
-    headers = [
-        Header(name="Content-Type", value="text/plain; charset=utf-8"),
-        *outcome_headers(outcome=refusal.outcome, refusal=refusal),
-    ]
+    content_type = Header(name="Content-Type", value="text/plain; charset=utf-8")
+    headers = make_headers((content_type, *outcome_headers(refusal.outcome, refusal)))
     body = f"{refusal.outcome.value}: {refusal.reason.value}\n".encode()
     await write_response(request, status_of_refusal(refusal), headers, body, is_last)
 
@@ -204,24 +235,21 @@
 async def write_response(
     request: HTTPServerRequest,
     status: int,
-    headers: list[Header],
+    headers: HTTPHeaders,
     body: bytes,
     is_last: bool,
 ) -> None:
     """Write a response with its length and wait until it left the process."""
-    response_headers = HTTPHeaders()
-    for header in headers:
-        response_headers.add(header.name, header.value)
     if is_last:
-        response_headers["Connection"] = "close"
+        headers["Connection"] = "close"
     may_have_body = status >= 200 and status not in (204, 304)
     if may_have_body:
-        response_headers["Content-Length"] = str(len(body))
+        headers["Content-Length"] = str(len(body))
     start_line = ResponseStartLine("HTTP/1.1", status, responses.get(status, ""))
     has_body = may_have_body and request.method != "HEAD"
     connection = request.connection
     written = connection.write_headers(
-        start_line, response_headers, chunk=body if has_body else None
+        start_line, headers, chunk=body if has_body else None
     )
     connection.finish()
     await written
