Tell by the connection whether a request was sent

Causes: the outcome of a failed transfer was guessed from curl's error, so an attempt to connect that timed out was reported as of unknown outcome though nothing had been sent; a status of 599 was taken for a lost request and put its fingerprint under quarantine; header values, targets and credentials that HTTP forbids raised out of the client and left the caller waiting; answers carried a header that the curl client adds. A call whose caller had gone kept its place in the queue and was given a slot before it was refused.

Change: curl calls back once the connection is ready and before it writes; what fails before is not run, and a cancelled request is stopped there. Bad requests are refused as malformed before a connection is made. A cancelled token takes its call out of the queue at once.

--- a/foxtailway/proxy/slot.py
+++ b/foxtailway/proxy/slot.py
@@ -1,6 +1,7 @@
 """Waiting for slots of the host's own upstream."""
 
 import asyncio
+from functools import partial
 
 from expression import Error, Ok, Result
 
@@ -46,9 +47,16 @@
     async def acquire(
         self, call: PendingCall, token: CancelToken
     ) -> Result[None, Refusal]:
-        """Wait until a call may run; the slot is held until `release`."""
+        """Wait until a call may run; the slot is held until `release`.
+
+        A call whose token is cancelled leaves the queue at once.
+        """
+        if token.is_cancelled:
+            return Error(self.refuse(RefusalReason.CANCELLED))
         future = asyncio.get_running_loop().create_future()
         self.waiting[call.call_id] = future
+        leave = partial(self.leave, call.call_id)
+        token.callbacks.append(leave)
         self.settle(self.queue.offer(call, self.clock.now()))
         try:
             return await future
@@ -56,8 +64,17 @@
             self.settle(self.queue.cancel(call.call_id, self.clock.now()))
             raise
         finally:
+            token.callbacks.remove(leave)
             self.waiting.pop(call.call_id, None)
 
+    def leave(self, call_id: str) -> None:
+        """Take a call whose caller is gone out of the queue."""
+        future = self.waiting[call_id]
+        if future.done():
+            return
+        self.settle(self.queue.cancel(call_id, self.clock.now()))
+        future.set_result(Error(self.refuse(RefusalReason.CANCELLED)))
+
     def release(self, call: PendingCall, *, latency_s: float, is_success: bool) -> None:
         """Return the slot of a call that ended."""
         now = self.clock.now()
@@ -97,12 +114,15 @@
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
-        refusal = Refusal(
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_result(Error(self.refuse(RefusalReason.DRAINING)))
+
+    def refuse(self, reason: RefusalReason) -> Refusal:
+        """Return the refusal of a call that got no slot."""
+        return Refusal(
             outcome=Outcome.NOT_RUN,
-            reason=RefusalReason.DRAINING,
-            retry_after_s=1.0,
+            reason=reason,
+            retry_after_s=1.0 if reason is RefusalReason.DRAINING else 0.0,
             host_id=self.queue.host_id,
         )
-        for future in self.waiting.values():
-            if not future.done():
-                future.set_result(Error(refusal))
--- a/foxtailway/proxy/tests/test_upstream.py
+++ b/foxtailway/proxy/tests/test_upstream.py
@@ -1,7 +1,9 @@
 import asyncio
+import socket
 import unittest
+from dataclasses import replace
 
-from foxtailway.proxy.message import CallRequest
+from foxtailway.proxy.message import CallRequest, Header
 from foxtailway.proxy.upstream import CancelToken, CurlUpstreamClient
 from foxtailway.routing.outcome import Outcome, RefusalReason
 
@@ -158,3 +160,109 @@
         self.assertEqual(result.error.outcome, Outcome.UNKNOWN)
         self.assertEqual(result.error.reason, RefusalReason.CANCELLED)
         await asyncio.wait_for(closed.wait(), 5)
+
+    async def test_request_that_http_cannot_carry_is_not_run(self):
+        request = make_request(is_idempotent=False)
+        bad_headers = (
+            Header(name="X", value="a\r\nX-Foxtailway-Hops: 0"),
+            Header(name="X\r\nY", value="a"),
+            Header(name="X", value="\u20ac"),
+            Header(name="\u20ac", value="a"),
+        )
+        requests = [replace(request, headers=(header,)) for header in bad_headers]
+        requests.append(replace(request, target="/holds/\u20ac"))
+        requests.append(replace(request, target="/holds HTTP/1.1\r\nX: y\r\n"))
+        requests.append(replace(request, method="GET /other HTTP/1.1\r\nX:"))
+        requests.append(replace(request, idempotency_key="a\nb"))
+        upstream, results = await self.run_requests([OK_ANSWER], requests)
+        self.assertEqual(upstream.n_requests, 0)
+        for result in results:
+            self.assertEqual(result.error.outcome, Outcome.NOT_RUN)
+            self.assertEqual(result.error.reason, RefusalReason.MALFORMED)
+
+    async def test_credential_that_is_no_text_is_not_sent(self):
+        upstream = ScriptedUpstream([OK_ANSWER])
+        client = await self.make_client(await upstream.start())
+        self.addCleanup(upstream.server.close)
+        result = await client.run(
+            make_request(is_idempotent=True),
+            timeout_s=2.0,
+            credential=b"\xff\xfe",
+            token=CancelToken(),
+        )
+        self.assertEqual(result.error.reason, RefusalReason.MALFORMED)
+        self.assertEqual(upstream.n_requests, 0)
+
+    async def test_header_of_any_byte_reaches_the_upstream(self):
+        request = make_request(is_idempotent=True)
+        request = replace(request, headers=(Header(name="X", value="P\xe4rnu"),))
+        answer = b"HTTP/1.1 200 OK\r\nX: K\xe4ina\r\nContent-Length: 0\r\n\r\n"
+        _, results = await self.run_requests([answer], [request])
+        header = results[0].ok.headers[0]
+        self.assertEqual(header, Header(name="X", value="K\xe4ina"))
+
+    async def test_connection_that_times_out_means_not_run(self):
+        listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.addCleanup(listener.close)
+        waiting = [socket.socket() for _ in range(4)]
+        for filler in waiting:
+            self.addCleanup(filler.close)
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        client = await self.make_client(listener.getsockname()[1])
+        result = await client.run(
+            make_request(is_idempotent=False),
+            timeout_s=0.2,
+            credential=None,
+            token=CancelToken(),
+        )
+        self.assertEqual(result.error.outcome, Outcome.NOT_RUN)
+        self.assertEqual(result.error.reason, RefusalReason.EXPIRED)
+
+    async def test_silence_on_a_reused_connection_is_unknown(self):
+        n_requests = 0
+
+        async def serve(reader, writer):
+            nonlocal n_requests
+            while b"GET" in await reader.readline():
+                await reader.readuntil(b"\r\n\r\n")
+                n_requests += 1
+                if n_requests == 1:
+                    writer.write(OK_ANSWER)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        client = await self.make_client(server.sockets[0].getsockname()[1])
+        for expected in (None, Outcome.UNKNOWN):
+            result = await client.run(
+                make_request(is_idempotent=True),
+                timeout_s=0.3,
+                credential=None,
+                token=CancelToken(),
+            )
+            outcome = result.error.outcome if result.is_error() else None
+            self.assertEqual(outcome, expected)
+        self.assertEqual(n_requests, 2)
+
+    async def test_any_status_of_the_upstream_is_an_answer(self):
+        answer = b"HTTP/1.1 599 Odd\r\nContent-Length: 0\r\n\r\n"
+        _, results = await self.run_requests(
+            [answer], [make_request(is_idempotent=True)]
+        )
+        self.assertEqual(results[0].ok.status, 599)
+
+    async def test_request_cancelled_before_it_is_sent_is_not_run(self):
+        upstream = ScriptedUpstream([OK_ANSWER])
+        client = await self.make_client(await upstream.start())
+        self.addCleanup(upstream.server.close)
+        token = CancelToken()
+        token.cancel()
+        result = await client.run(
+            make_request(is_idempotent=False),
+            timeout_s=2.0,
+            credential=None,
+            token=token,
+        )
+        self.assertEqual(result.error.outcome, Outcome.NOT_RUN)
+        self.assertEqual(result.error.reason, RefusalReason.CANCELLED)
+        self.assertEqual(upstream.n_requests, 0)
--- a/foxtailway/proxy/upstream.py
+++ b/foxtailway/proxy/upstream.py
@@ -1,14 +1,14 @@
 """HTTP client of the host's own upstream."""
 
+import re
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import pycurl
 from expression import Error, Ok, Result
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
-from tornado.httpclient import HTTPClientError, HTTPRequest
-from tornado.httputil import HTTPHeaders
+from tornado.httpclient import HTTPRequest
+from tornado.httputil import HTTPHeaders, HTTPInputError
 
 from foxtailway.proxy.header import (
     DEADLINE_HEADER,
@@ -21,20 +21,33 @@
 
 __all__ = ["CancelToken", "CurlUpstreamClient", "UpstreamClient"]
 
-NOT_SENT_ERRORS = frozenset(
-    {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST, pycurl.E_INTERFACE_FAILED}
-)
+METHOD_PATTERN = re.compile(r"[A-Za-z!#$%&'*+.^_`|~0-9-]+")
+TARGET_PATTERN = re.compile(r"/[!-~]*")
+REASON_PHRASE_HEADER = "X-Http-Reason"
 
 
-@dataclass(slots=True, kw_only=True)
 class CancelToken:
-    """Tell a running request that its caller is gone."""
+    """Tell a request, waiting or running, that its caller is gone.
 
-    is_cancelled: bool = False
+    Attributes
+    ----------
+    is_cancelled : bool
+        Whether the caller is gone.
+    callbacks : list of callable
+        Called once, when the token is cancelled.
+    """
+
+    def __init__(self) -> None:
+        self.is_cancelled = False
+        self.callbacks: list[Callable[[], None]] = []
 
     def cancel(self) -> None:
         """Cancel the request; idempotent."""
+        if self.is_cancelled:
+            return
         self.is_cancelled = True
+        for callback in tuple(self.callbacks):
+            callback()
 
 
 class UpstreamClient(ABC):
@@ -54,7 +67,7 @@
         Returns
         -------
         Result
-            A refusal of outcome ``NOT_RUN`` only when no connection was made.
+            A refusal of outcome ``NOT_RUN`` only when no byte was sent.
         """
 
     @abstractmethod
@@ -115,10 +128,18 @@
     ) -> Result[CallResponse, Refusal]:
         """Send a request once and wait for the whole answer."""
         body = ResponseBody(max_size=self.max_body_size, token=token)
+        transfer = Transfer(is_idempotent=request.is_idempotent, token=token)
+        malformed = self.refuse(Outcome.NOT_RUN, RefusalReason.MALFORMED)
+        if not is_valid_start(request):
+            return Error(malformed)
+        try:
+            headers = upstream_headers(request, timeout_s, credential)
+        except (HTTPInputError, ValueError):
+            return Error(malformed)
         fetch = HTTPRequest(
             self.base_url + request.target,
             method=request.method,
-            headers=upstream_headers(request, timeout_s, credential),
+            headers=headers,
             body=request.body or None,
             allow_nonstandard_methods=True,
             connect_timeout=min(self.connect_timeout_s, timeout_s),
@@ -126,16 +147,20 @@
             follow_redirects=False,
             decompress_response=False,
             streaming_callback=body.append,
-            prepare_curl_callback=make_curl_setup(request.is_idempotent, token),
+            prepare_curl_callback=transfer.prepare,
         )
         try:
             response = await self.client.fetch(fetch, raise_error=False)
         except (pycurl.error, ValueError):
-            return Error(self.refuse(Outcome.NOT_RUN, RefusalReason.MALFORMED))
-        except HTTPClientError as error:
-            return Error(self.classify_error(error, body))
-        if response.code == 599 or body.is_too_large:
-            return Error(self.classify_error(response.error, body))
+            return Error(malformed)
+        except CurlError as error:
+            if body.is_too_large:
+                return Error(self.refuse(Outcome.UNKNOWN, RefusalReason.TOO_LARGE))
+            is_late = timeout_s <= self.connect_timeout_s
+            return Error(self.classify_error(error, transfer.is_sent, is_late))
+        if body.is_too_large:
+            return Error(self.refuse(Outcome.UNKNOWN, RefusalReason.TOO_LARGE))
+        response.headers.pop(REASON_PHRASE_HEADER, None)
         return Ok(
             CallResponse(
                 call_id=request.call_id,
@@ -145,20 +170,25 @@
             )
         )
 
-    def classify_error(
-        self, error: BaseException | None, body: "ResponseBody"
-    ) -> Refusal:
-        """Tell a request that never reached the upstream from a lost one."""
-        if body.is_too_large:
-            return self.refuse(Outcome.UNKNOWN, RefusalReason.TOO_LARGE)
-        errno = error.errno if isinstance(error, CurlError) else None
-        if errno in NOT_SENT_ERRORS:
-            return self.refuse(Outcome.NOT_RUN, RefusalReason.LOST)
-        if errno == pycurl.E_ABORTED_BY_CALLBACK:
-            return self.refuse(Outcome.UNKNOWN, RefusalReason.CANCELLED)
-        if errno == pycurl.E_OPERATION_TIMEDOUT:
-            return self.refuse(Outcome.UNKNOWN, RefusalReason.EXPIRED)
-        return self.refuse(Outcome.UNKNOWN, RefusalReason.LOST)
+    def classify_error(self, error: CurlError, is_sent: bool, is_late: bool) -> Refusal:
+        """Tell a request that never reached the upstream from a lost one.
+
+        Parameters
+        ----------
+        error : CurlError
+            Error of the transfer.
+        is_sent : bool
+            Whether a byte of the request may have left.
+        is_late : bool
+            Whether the deadline ends the attempt to connect.
+        """
+        outcome = Outcome.UNKNOWN if is_sent else Outcome.NOT_RUN
+        reason = RefusalReason.LOST
+        if error.errno == pycurl.E_ABORTED_BY_CALLBACK:
+            reason = RefusalReason.CANCELLED
+        elif error.errno == pycurl.E_OPERATION_TIMEDOUT and (is_sent or is_late):
+            reason = RefusalReason.EXPIRED
+        return self.refuse(outcome, reason)
 
     def refuse(self, outcome: Outcome, reason: RefusalReason) -> Refusal:
         """Return a refusal that arose at this host."""
@@ -200,21 +230,51 @@
         self.chunks.append(chunk)
 
 
-def make_curl_setup(
-    is_idempotent: bool, token: CancelToken
-) -> Callable[[pycurl.Curl], None]:
-    """Return a callback that prepares a curl handle for one request."""
+class Transfer:
+    """Prepare a curl handle for one request and follow its progress.
+
+    Parameters
+    ----------
+    is_idempotent : bool
+        Whether an open connection may be used again.
+    token : CancelToken
+        Ends the transfer when cancelled.
+
+    Attributes
+    ----------
+    is_sent : bool
+        Whether a byte of the request may have left.
+    """
 
-    def report_progress(*_sizes: float) -> int:
-        return int(token.is_cancelled)
+    def __init__(self, *, is_idempotent: bool, token: CancelToken) -> None:
+        self.is_idempotent = is_idempotent
+        self.token = token
+        self.is_sent = False
 
-    def prepare(curl: pycurl.Curl) -> None:
-        curl.setopt(pycurl.FRESH_CONNECT, 0 if is_idempotent else 1)
+    def prepare(self, curl: pycurl.Curl) -> None:
+        """Set the options and callbacks of a handle."""
+        curl.setopt(pycurl.FRESH_CONNECT, 0 if self.is_idempotent else 1)
         curl.setopt(pycurl.NOPROGRESS, 0)
-        curl.setopt(pycurl.XFERINFOFUNCTION, report_progress)
+        curl.setopt(pycurl.XFERINFOFUNCTION, self.report_progress)
+        curl.setopt(pycurl.PREREQFUNCTION, self.report_connected)
         curl.setopt(pycurl.PROXY, "")
 
-    return prepare
+    def report_progress(self, *_sizes: int) -> int:
+        """Return 1 to end a transfer whose caller is gone."""
+        return int(self.token.is_cancelled)
+
+    def report_connected(self, *_addresses: object) -> int:
+        """Decide, on a ready connection, whether the request is sent."""
+        if self.token.is_cancelled:
+            return pycurl.PREREQFUNC_ABORT
+        self.is_sent = True
+        return pycurl.PREREQFUNC_OK
+
+
+def is_valid_start(request: CallRequest) -> bool:
+    """Whether method and target are fit for the start line of a request."""
+    has_method = METHOD_PATTERN.fullmatch(request.method) is not None
+    return has_method and TARGET_PATTERN.fullmatch(request.target) is not None
 
 
 def upstream_headers(
@@ -224,10 +284,12 @@
     headers = HTTPHeaders()
     for header in request.headers:
         headers.add(header.name, header.value)
+        header.value.encode("latin-1")
     headers[DEADLINE_HEADER] = str(max(0, int(timeout_s * 1000)))
     headers[HOPS_HEADER] = str(request.n_hops)
     if request.idempotency_key:
-        headers[IDEMPOTENCY_HEADER] = request.idempotency_key
+        headers.pop(IDEMPOTENCY_HEADER, None)
+        headers.add(IDEMPOTENCY_HEADER, request.idempotency_key)
     if credential is not None:
         headers["Authorization"] = "Bearer " + credential.decode("utf-8").strip()
     return headers
