End the attempt to connect at the call's deadline

Cause: a call waited for a new stream up to the connect timeout and the greeting's timeout, however little time it had left.

Before: test_connecting_ends_at_the_deadline_of_the_call ends in a timeout; after: it passes. The rest of test_dispatcher covers refusals at the entrance, stopping, retries only of what did not run, hop limit and homes of keys.

--- a/foxtailway/proxy/dispatcher.py
+++ b/foxtailway/proxy/dispatcher.py
@@ -274,15 +274,24 @@
         if host.host_id == self.settings.host.host_id:
             transport = self.local
         else:
-            opened = await self.pool.channel(host)
-            if opened.is_error():
+            channel = await self.connect(planned, host)
+            if channel is None:
                 return self.refuse_unreachable(planned.request, host)
-            transport = opened.ok
+            transport = channel
         remaining_s = remaining_for_hop(deadline=planned.deadline, now=self.clock.now())
         if remaining_s is None:
             return self.refuse(RefusalReason.EXPIRED)
         return await transport.call(replace(planned.request, remaining_s=remaining_s))
 
+    async def connect(self, planned: PlannedCall, host: Host) -> CallTransport | None:
+        """Return a stream to a host, or None when there is none in time."""
+        try:
+            async with asyncio.timeout(planned.deadline - self.clock.now()):
+                opened = await self.pool.channel(host)
+        except TimeoutError:
+            return None
+        return None if opened.is_error() else opened.ok
+
     def refuse_unreachable(
         self, request: CallRequest, host: Host
     ) -> Result[CallResponse, Refusal]:
