Check the deadline again on the ready connection

Cause: a process paused between connecting to its upstream and writing the request sent it on waking, after its caller had given up.

Change: the callback on the ready connection checks the clock as well as the token; nothing is sent after the deadline.

Before: test_deadline_that_passes_while_connecting_is_not_run gets an answer; after: the request is refused as not run and does not reach the upstream.

--- a/foxtailway/node/daemon.py
+++ b/foxtailway/node/daemon.py
@@ -93,7 +93,7 @@
             now=clock.now(),
         )
         self.gate = make_gate(settings, clock)
-        self.client = make_upstream_client(settings)
+        self.client = make_upstream_client(settings, clock)
         self.pool = ChannelPool(
             settings=settings, dialer=call_dialer, clock=clock, observer=observer
         )
@@ -246,9 +246,10 @@
     return SlotGate(queue=queue, clock=clock)
 
 
-def make_upstream_client(settings: NodeSettings) -> CurlUpstreamClient:
+def make_upstream_client(settings: NodeSettings, clock: Clock) -> CurlUpstreamClient:
     """Return the client of the host's own upstream."""
     return CurlUpstreamClient(
+        clock=clock,
         host_id=settings.host.host_id,
         address=settings.upstream.address,
         port=settings.upstream.port,
--- a/foxtailway/proxy/tests/test_upstream.py
+++ b/foxtailway/proxy/tests/test_upstream.py
@@ -3,6 +3,7 @@
 import unittest
 from dataclasses import replace
 
+from foxtailway.common.clock import Clock, ManualClock, MonotonicClock
 from foxtailway.proxy.message import CallRequest, Header
 from foxtailway.proxy.upstream import CancelToken, CurlUpstreamClient
 from foxtailway.routing.outcome import Outcome, RefusalReason
@@ -69,8 +70,11 @@
 
 
 class CurlUpstreamClientTest(unittest.IsolatedAsyncioTestCase):
-    async def make_client(self, port: int, *, max_body_size: int = 1000):
+    async def make_client(
+        self, port: int, *, max_body_size: int = 1000, clock: Clock | None = None
+    ):
         client = CurlUpstreamClient(
+            clock=clock or MonotonicClock(),
             host_id="host",
             address="127.0.0.1",
             port=port,
@@ -266,3 +270,23 @@
         self.assertEqual(result.error.outcome, Outcome.NOT_RUN)
         self.assertEqual(result.error.reason, RefusalReason.CANCELLED)
         self.assertEqual(upstream.n_requests, 0)
+
+    async def test_deadline_that_passes_while_connecting_is_not_run(self):
+        clock = ManualClock()
+        upstream = ScriptedUpstream([OK_ANSWER])
+        client = await self.make_client(await upstream.start(), clock=clock)
+        self.addCleanup(upstream.server.close)
+        running = asyncio.ensure_future(
+            client.run(
+                make_request(is_idempotent=False),
+                timeout_s=2.0,
+                credential=None,
+                token=CancelToken(),
+            )
+        )
+        await asyncio.sleep(0)
+        clock.advance(3.0)
+        result = await running
+        self.assertEqual(result.error.outcome, Outcome.NOT_RUN)
+        self.assertEqual(result.error.reason, RefusalReason.EXPIRED)
+        self.assertEqual(upstream.n_requests, 0)
--- a/foxtailway/proxy/upstream.py
+++ b/foxtailway/proxy/upstream.py
@@ -10,6 +10,7 @@
 from tornado.httpclient import HTTPRequest
 from tornado.httputil import HTTPHeaders, HTTPInputError
 
+from foxtailway.common.clock import Clock
 from foxtailway.proxy.header import (
     DEADLINE_HEADER,
     HOPS_HEADER,
@@ -80,6 +81,8 @@
 
     Parameters
     ----------
+    clock : Clock
+        Source of time.
     host_id : str
         Host, named in refusals.
     address : str
@@ -103,6 +106,7 @@
     def __init__(
         self,
         *,
+        clock: Clock,
         host_id: str,
         address: str,
         port: int,
@@ -110,6 +114,7 @@
         n_connections: int,
         max_body_size: int,
     ) -> None:
+        self.clock = clock
         self.host_id = host_id
         self.base_url = f"http://{address}:{port}"
         self.connect_timeout_s = connect_timeout_s
@@ -128,7 +133,12 @@
     ) -> Result[CallResponse, Refusal]:
         """Send a request once and wait for the whole answer."""
         body = ResponseBody(max_size=self.max_body_size, token=token)
-        transfer = Transfer(is_idempotent=request.is_idempotent, token=token)
+        transfer = Transfer(
+            is_idempotent=request.is_idempotent,
+            token=token,
+            clock=self.clock,
+            deadline=self.clock.now() + timeout_s,
+        )
         malformed = self.refuse(Outcome.NOT_RUN, RefusalReason.MALFORMED)
         if not is_valid_start(request):
             return Error(malformed)
@@ -156,8 +166,7 @@
         except CurlError as error:
             if body.is_too_large:
                 return Error(self.refuse(Outcome.UNKNOWN, RefusalReason.TOO_LARGE))
-            is_late = timeout_s <= self.connect_timeout_s
-            return Error(self.classify_error(error, transfer.is_sent, is_late))
+            return Error(self.classify_error(error, transfer))
         if body.is_too_large:
             return Error(self.refuse(Outcome.UNKNOWN, RefusalReason.TOO_LARGE))
         response.headers.pop(REASON_PHRASE_HEADER, None)
@@ -170,23 +179,16 @@
             )
         )
 
-    def classify_error(self, error: CurlError, is_sent: bool, is_late: bool) -> Refusal:
-        """Tell a request that never reached the upstream from a lost one.
-
-        Parameters
-        ----------
-        error : CurlError
-            Error of the transfer.
-        is_sent : bool
-            Whether a byte of the request may have left.
-        is_late : bool
-            Whether the deadline ends the attempt to connect.
-        """
-        outcome = Outcome.UNKNOWN if is_sent else Outcome.NOT_RUN
+    def classify_error(self, error: CurlError, transfer: "Transfer") -> Refusal:
+        """Tell a request that never reached the upstream from a lost one."""
+        outcome = Outcome.UNKNOWN if transfer.is_sent else Outcome.NOT_RUN
         reason = RefusalReason.LOST
         if error.errno == pycurl.E_ABORTED_BY_CALLBACK:
-            reason = RefusalReason.CANCELLED
-        elif error.errno == pycurl.E_OPERATION_TIMEDOUT and (is_sent or is_late):
+            is_cancelled = transfer.token.is_cancelled
+            reason = RefusalReason.CANCELLED if is_cancelled else RefusalReason.EXPIRED
+        elif error.errno == pycurl.E_OPERATION_TIMEDOUT and (
+            transfer.is_sent or transfer.is_expired
+        ):
             reason = RefusalReason.EXPIRED
         return self.refuse(outcome, reason)
 
@@ -239,6 +241,10 @@
         Whether an open connection may be used again.
     token : CancelToken
         Ends the transfer when cancelled.
+    clock : Clock
+        Source of time.
+    deadline : float
+        Time after which nothing is sent, in seconds.
 
     Attributes
     ----------
@@ -246,11 +252,20 @@
         Whether a byte of the request may have left.
     """
 
-    def __init__(self, *, is_idempotent: bool, token: CancelToken) -> None:
+    def __init__(
+        self, *, is_idempotent: bool, token: CancelToken, clock: Clock, deadline: float
+    ) -> None:
         self.is_idempotent = is_idempotent
         self.token = token
+        self.clock = clock
+        self.deadline = deadline
         self.is_sent = False
 
+    @property
+    def is_expired(self) -> bool:
+        """Whether the deadline has passed."""
+        return self.clock.now() >= self.deadline
+
     def prepare(self, curl: pycurl.Curl) -> None:
         """Set the options and callbacks of a handle."""
         curl.setopt(pycurl.FRESH_CONNECT, 0 if self.is_idempotent else 1)
@@ -264,8 +279,11 @@
         return int(self.token.is_cancelled)
 
     def report_connected(self, *_addresses: object) -> int:
-        """Decide, on a ready connection, whether the request is sent."""
-        if self.token.is_cancelled:
+        """Decide, on a ready connection, whether the request is sent.
+
+        The process may have been paused since the connection was begun.
+        """
+        if self.token.is_cancelled or self.is_expired:
             return pycurl.PREREQFUNC_ABORT
         self.is_sent = True
         return pycurl.PREREQFUNC_OK
