Bound lengths and retry times announced by peers

Cause: a peer's few bytes announcing nested arrays made the unpacker allocate and walk gigabytes of list slots while it waited for more; a retry time that is negative, infinite or no number went into quarantines and failed the writing of the refusal.

Change: arrays are bounded at 65,536 items, maps and extensions, which no message uses, are refused, and retry times are kept between 0 and an hour.

Before: test_announced_lengths_cost_nothing ends in a timeout and test_retry_times_that_make_no_sense_are_bounded sees NaN; after: both pass.

--- a/foxtailway/proxy/channel.py
+++ b/foxtailway/proxy/channel.py
@@ -33,6 +33,7 @@
 
 GENERATION = 1
 ANSWER_MARGIN_S = 0.05
+MAX_RETRY_AFTER_S = 3600.0
 UNSENT_REASONS = {
     FailureKind.TOO_LARGE: RefusalReason.TOO_LARGE,
     FailureKind.INVALID: RefusalReason.MALFORMED,
@@ -262,11 +263,14 @@
 
 
 def refusal_of(message: CallRefusal) -> Refusal:
-    """Return the refusal described by a message."""
+    """Return the refusal described by a message, with a sensible retry time."""
+    retry_after_s = message.retry_after_s
+    if not retry_after_s > 0.0:
+        retry_after_s = 0.0
     return Refusal(
         outcome=message.outcome,
         reason=message.reason,
-        retry_after_s=message.retry_after_s,
+        retry_after_s=min(retry_after_s, MAX_RETRY_AFTER_S),
         host_id=message.host_id,
     )
 
--- a/foxtailway/proxy/tests/test_channel.py
+++ b/foxtailway/proxy/tests/test_channel.py
@@ -1,13 +1,19 @@
 import asyncio
 import unittest
 from contextlib import AsyncExitStack
+from dataclasses import replace
 
 from foxtailway.common import FailureKind, ManualClock
-from foxtailway.proxy.channel import CallChannel, ChannelPool
+from foxtailway.proxy.channel import (
+    MAX_RETRY_AFTER_S,
+    CallChannel,
+    ChannelPool,
+)
 from foxtailway.proxy.message import (
     CallCancel,
     CallGoodbye,
     CallHello,
+    CallRefusal,
     CallRequest,
     CallWelcome,
     KeyAnswer,
@@ -131,6 +137,27 @@
         self.stream.feed(KeyAnswer(call_id=1, is_surrendered=True))
         self.assert_refused(await call, Outcome.UNKNOWN, RefusalReason.LOST)
 
+    async def test_retry_times_that_make_no_sense_are_bounded(self) -> None:
+        refusal = CallRefusal(
+            call_id=1,
+            outcome=Outcome.NOT_RUN,
+            reason=RefusalReason.QUARANTINED,
+            retry_after_s=0.0,
+            host_id="accra-a-2",
+        )
+        for call_id, (sent_s, expected_s) in enumerate(
+            (
+                (1.5, 1.5),
+                (float("nan"), 0.0),
+                (-1.0, 0.0),
+                (float("inf"), MAX_RETRY_AFTER_S),
+            ),
+            start=1,
+        ):
+            call = await self.start()
+            self.stream.feed(replace(refusal, call_id=call_id, retry_after_s=sent_s))
+            self.assertEqual((await call).error.retry_after_s, expected_s)
+
     async def test_unexpected_message_ends_the_stream(self) -> None:
         call = await self.start()
         self.stream.feed(make_call_request())
--- a/foxtailway/transport/stream.py
+++ b/foxtailway/transport/stream.py
@@ -17,6 +17,7 @@
 
 READ_CHUNK_BYTES = 65_536
 N_BUFFERED_MESSAGES = 4
+MAX_ARRAY_LENGTH = 65_536
 USER_TIMEOUT_MS = 5_000
 
 
@@ -101,6 +102,9 @@
             max_buffer_size=max_message_size + READ_CHUNK_BYTES,
             max_str_len=max_message_size,
             max_bin_len=max_message_size,
+            max_array_len=MAX_ARRAY_LENGTH,
+            max_map_len=0,
+            max_ext_len=0,
         )
         stream.max_write_buffer_size = N_BUFFERED_MESSAGES * max_message_size
 
--- a/foxtailway/transport/tests/test_stream.py
+++ b/foxtailway/transport/tests/test_stream.py
@@ -37,6 +37,18 @@
         await asyncio.Event().wait()
 
 
+class RawAcceptor(StreamAcceptor):
+    """Answer with bytes that no codec made."""
+
+    def __init__(self, *, content: bytes) -> None:
+        self.content = content
+
+    async def accept(self, stream: MessageStream) -> None:
+        await stream.receive()
+        await stream.stream.write(self.content)
+        await stream.receive()
+
+
 class TcpMessageStreamTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.stack = AsyncExitStack()
@@ -94,3 +106,9 @@
         sent = await stream.send(Parcel(body="\ud800"))
         self.assertEqual(sent.error.kind, FailureKind.INVALID)
         self.assertTrue((await stream.send(Parcel(body=b"next"))).is_ok())
+
+    async def test_announced_lengths_cost_nothing(self) -> None:
+        stream = await self.dial(RawAcceptor(content=b"\xdd\x00\x05\x00\x00" * 900))
+        await stream.send(Parcel(body=b"start"))
+        received = await asyncio.wait_for(stream.receive(), 5.0)
+        self.assertEqual(received.error.kind, FailureKind.INVALID)
