End with one line when a port cannot be had

Cause: a node started from the example's settings on another host ended with a traceback and left what it had opened. Change: the exit stack closes what start opened, the failure is logged with its step, and the exit code is 1.

--- a/foxtailway/common/failure.py
+++ b/foxtailway/common/failure.py
@@ -10,6 +10,7 @@
     """Step of the work at which a failure arose."""
 
     SETTINGS = "settings"
+    LISTEN = "listen"
     CONFIG_PARSE = "config_parse"
     CONFIG_VALIDATE = "config_validate"
     COMPILE = "compile"
--- a/foxtailway/node/main.py
+++ b/foxtailway/node/main.py
@@ -12,11 +12,12 @@
 from logbook.compat import redirected_logging
 
 from foxtailway.common.clock import MonotonicClock
+from foxtailway.common.failure import Failure, FailureKind, Step
 from foxtailway.config.generation import read_generation
 from foxtailway.node.daemon import NodeDaemon, make_codec
 from foxtailway.node.observer import NodeObserver
 from foxtailway.observe.audit import AuditTrail
-from foxtailway.observe.log import make_log_handler
+from foxtailway.observe.log import log_failure, make_log_handler
 from foxtailway.observe.metrics import NodeMetrics
 from foxtailway.settings.load import load_settings
 from foxtailway.settings.model import NodeSettings
@@ -27,6 +28,7 @@
 __all__ = ["main", "make_daemon", "make_dialer", "run_daemon", "run_logged"]
 
 EXIT_OK = 0
+EXIT_FAILED = 1
 EXIT_USAGE = 2
 
 
@@ -77,9 +79,10 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    await daemon.start()
-    await stopping.wait()
-    await daemon.stop()
+    async with daemon.exit_stack:
+        await daemon.start()
+        await stopping.wait()
+        await daemon.stop()
 
 
 async def run_settings(settings: NodeSettings) -> None:
@@ -114,7 +117,8 @@
     Returns
     -------
     int
-        Exit code; 2 when the settings have findings, which are printed.
+        Exit code; 2 when the settings have findings, which are printed, and 1
+        when a port cannot be had.
     """
     loaded = load_settings(path)
     if loaded.is_error():
@@ -124,9 +128,23 @@
     settings = loaded.ok
     handler = make_log_handler(host_id=settings.host.host_id, level=settings.log_level)
     with handler.applicationbound(), redirected_logging():
-        asyncio.run(run(settings))
+        try:
+            asyncio.run(run(settings))
+        except OSError as error:
+            log_failure(Logger("node"), listen_failure(settings, error), action="ended")
+            return EXIT_FAILED
     return EXIT_OK
 
 
+def listen_failure(settings: NodeSettings, error: OSError) -> Failure:
+    """Return the failure of a node that cannot listen on its ports."""
+    return Failure(
+        step=Step.LISTEN,
+        kind=FailureKind.UNAVAILABLE,
+        peer=settings.host.address,
+        detail=str(error),
+    )
+
+
 if __name__ == "__main__":
     sys.exit(main())
