--- a/foxtailway/proxy/tests/test_runner.py
+++ b/foxtailway/proxy/tests/test_runner.py
@@ -74,6 +74,13 @@
         self.client.released.set()
         self.assertTrue((await (await self.start())).is_ok())
 
+    async def test_deadline_is_checked_again_with_the_slot_in_hand(self) -> None:
+        result = await self.runner.run_admitted(
+            make_call_request(), self.clock.now(), CancelToken()
+        )
+        self.assert_refused(result, Outcome.NOT_RUN, RefusalReason.EXPIRED)
+        self.assertEqual(self.client.requests, [])
+
     async def test_cancelled_call_leaves_the_queue_at_once(self) -> None:
         await self.start()
         token = CancelToken()
