--- a/foxtailway/node/tests/control_case.py
+++ b/foxtailway/node/tests/control_case.py
@@ -1,7 +1,6 @@
 import asyncio
-import socket
-from collections.abc import Iterable, Iterator
-from contextlib import AsyncExitStack, contextmanager
+from collections.abc import Iterable
+from contextlib import AsyncExitStack
 from pathlib import Path
 from signal import SIGCONT, SIGSTOP
 from tempfile import TemporaryDirectory
@@ -12,14 +11,13 @@
 from foxtailway.testing.deployment import HostPlan, ZonePlan, plan_deployment
 from foxtailway.testing.fleet import Fleet, NodeView
 from foxtailway.testing.sample import SampleConfiguration
+from foxtailway.testing.subnet import claim_subnet
 from foxtailway.testing.trail import PublishedStates, PublishedWrite, find_breaches
 
 __all__ = ["TARGET_S", "ControlFailureCase"]
 
 TARGET_S = 14.0
 START_S = 30.0
-SUBNETS = range(3, 13)
-CLAIM_PORT = 5_999
 STORE_REGION = "north"
 REMOTE_REGION = "south"
 ZONES = (
@@ -45,20 +43,6 @@
 }
 
 
-@contextmanager
-def claim_subnet() -> Iterator[int]:
-    """Take a subnet that no other running test uses."""
-    for subnet in SUBNETS:
-        with socket.socket() as claim:
-            try:
-                claim.bind((f"127.{subnet * 8}.0.1", CLAIM_PORT))
-            except OSError:
-                continue
-            yield subnet
-            return
-    raise OSError(f"subnets {SUBNETS} are all in use")
-
-
 class ControlFailureCase(IsolatedAsyncioTestCase):
     """Run a fleet as processes and check all audit trails at the end."""
 
--- a/foxtailway/testing/fleet.py
+++ b/foxtailway/testing/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -106,18 +107,16 @@
 
     def start_node(self, host: HostPlan) -> None:
         """Start the node of a host."""
-        path = self.folder / f"{host.host_id}.ini"
-        path.write_text(self.deployment.render_settings(host))
-        self.processes.start(
-            f"node-{host.host_id}",
-            "foxtailway.testing.linked_node",
-            [
-                "--settings",
-                str(path),
-                "--link-address",
-                self.deployment.platform_address,
-            ],
-        )
+        self.start_nodes(f"node-{host.host_id}", (host,))
+
+    def start_nodes(self, name: str, hosts: Iterable[HostPlan]) -> None:
+        """Start the nodes of several hosts as one process."""
+        arguments = ["--link-address", self.deployment.platform_address]
+        for host in hosts:
+            path = self.folder / f"{host.host_id}.ini"
+            path.write_text(self.deployment.render_settings(host))
+            arguments += ["--settings", str(path)]
+        self.processes.start(name, "foxtailway.testing.linked_node", arguments)
 
     def start_hosts(self) -> None:
         """Start upstream and node of every host."""
--- a/foxtailway/testing/linked_node.py
+++ b/foxtailway/testing/linked_node.py
@@ -1,10 +1,14 @@
 """Node whose streams to other regions cross the link's stand-in."""
 
+import asyncio
+import signal
 import sys
 from argparse import ArgumentParser
 from pathlib import Path
 
-from foxtailway.node.main import make_daemon, make_dialer, run_daemon, run_logged
+from foxtailway.node.daemon import NodeDaemon
+from foxtailway.node.main import make_daemon, make_dialer, run_logged
+from foxtailway.settings.load import load_settings
 from foxtailway.settings.model import NodeSettings
 from foxtailway.testing.deployment import LINK_PORT
 from foxtailway.testing.link import LinkDialer
@@ -26,27 +30,43 @@
     )
 
 
-async def run_linked(settings: NodeSettings, link_address: str) -> None:
-    """Compose and run a node."""
-    daemon = make_daemon(
+def make_linked_daemon(settings: NodeSettings, link_address: str) -> NodeDaemon:
+    """Compose a node."""
+    return make_daemon(
         settings,
         control_dialer=make_link_dialer(settings, link_address, "control"),
         call_dialer=make_link_dialer(settings, link_address, "calls"),
     )
-    await run_daemon(daemon)
+
+
+async def run_daemons(daemons: list[NodeDaemon]) -> None:
+    """Run several nodes on one loop until SIGTERM."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    for daemon in daemons:
+        await daemon.start()
+    await stopping.wait()
+    await asyncio.gather(*(daemon.stop() for daemon in daemons))
 
 
 def main() -> int:
-    """Run the node and return the exit code."""
-    parser = ArgumentParser(description="Node behind a link.")
-    parser.add_argument("--settings", type=Path, required=True)
+    """Run the node, or several in one process, and return the exit code."""
+    parser = ArgumentParser(description="Nodes behind a link.")
+    parser.add_argument("--settings", type=Path, action="append", required=True)
     parser.add_argument("--link-address", required=True)
     arguments = parser.parse_args()
+    first_path, *other_paths = arguments.settings
 
     async def run(settings: NodeSettings) -> None:
-        await run_linked(settings, arguments.link_address)
+        others = [load_settings(path).ok for path in other_paths]
+        daemons = [
+            make_linked_daemon(item, arguments.link_address)
+            for item in (settings, *others)
+        ]
+        await run_daemons(daemons)
 
-    return run_logged(arguments.settings, run)
+    return run_logged(first_path, run)
 
 
 if __name__ == "__main__":
--- a/foxtailway/testing/naive_poller.py
+++ b/foxtailway/testing/naive_poller.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+import json
+import time
 from argparse import ArgumentParser
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -17,8 +19,8 @@
 RETRY_S = 0.5
 
 
-async def poll(client: CurlAsyncHTTPClient, url: str) -> None:
-    """Play one proxy until cancelled."""
+async def poll(client: CurlAsyncHTTPClient, url: str, *, poller: int = 0) -> None:
+    """Play one proxy until cancelled; print a line for each whole copy."""
     since = 0
     while True:
         watch = await client.fetch(
@@ -39,6 +41,8 @@
                 await client.fetch(
                     f"{url}/v1/values/{change['key']}", raise_error=False
                 )
+        line = {"poller": poller, "revision": revision, "time_s": time.time()}
+        print(json.dumps(line), flush=True)
 
 
 async def serve() -> None:
@@ -51,7 +55,10 @@
         force_instance=True, max_clients=arguments.n_pollers * 2
     )
     await asyncio.gather(
-        *(poll(client, arguments.url) for _ in range(arguments.n_pollers))
+        *(
+            poll(client, arguments.url, poller=index)
+            for index in range(arguments.n_pollers)
+        )
     )
 
 
--- /dev/null
+++ b/foxtailway/testing/tests/test_trail.py
@@ -0,0 +1,60 @@
+import unittest
+
+from foxtailway.model.bundle import BundleKind
+from foxtailway.testing.trail import PublishedStates, PublishedWrite, find_breaches
+
+BASE = b"[mesh]\nname = pond\ngeneration = 1\n"
+
+
+def make_entry(version: str, digest: str):
+    return {
+        "action": "applied",
+        "kind": "config",
+        "version": version,
+        "digest": digest,
+    }
+
+
+class TrailTest(unittest.TestCase):
+    def setUp(self):
+        self.states = PublishedStates()
+        self.note(1, "base", BASE)
+        self.first = self.states.find_last(BundleKind.CONFIG)
+        self.note(3, "overlay/b", b"3")
+        self.newest = self.states.find_last(BundleKind.CONFIG)
+
+    def note(self, revision, key, content, *, is_valid=True):
+        self.states.note(
+            PublishedWrite(
+                revision=revision, key=key, content=content, is_valid=is_valid
+            )
+        )
+
+    def count_breaches(self, *entries):
+        return len(find_breaches(entries, valid=self.states.list_valid()))
+
+    def test_published_states_in_order_are_sound(self):
+        entries = [make_entry("1.1-a", self.first), make_entry("1.3-b", self.newest)]
+        self.assertEqual(self.count_breaches(*entries), 0)
+
+    def test_older_and_equal_versions_are_breaches(self):
+        newest = make_entry("1.3-b", self.newest)
+        self.assertEqual(
+            self.count_breaches(newest, make_entry("1.1-a", self.first)), 1
+        )
+        self.assertEqual(self.count_breaches(newest, newest), 1)
+
+    def test_mixed_state_is_a_breach(self):
+        mixed = self.newest
+        self.note(2, "overlay/a", b"2")
+        self.assertEqual(self.count_breaches(make_entry("1.3-b", mixed)), 1)
+
+    def test_state_with_an_invalid_value_is_a_breach(self):
+        self.note(4, "overlay/a", b"bad", is_valid=False)
+        bad = self.states.find_last(BundleKind.CONFIG)
+        self.assertEqual(self.count_breaches(make_entry("1.4-c", bad)), 1)
+
+    def test_states_before_a_restore_stay_valid(self):
+        self.states.restore(1)
+        self.assertEqual(self.states.find_last(BundleKind.CONFIG), self.first)
+        self.assertEqual(self.count_breaches(make_entry("1.3-b", self.newest)), 0)
