--- a/foxtailway/distribution/tests/test_uplink.py
+++ b/foxtailway/distribution/tests/test_uplink.py
@@ -11,7 +11,7 @@
     RefusedReason,
     SubscriptionRefused,
 )
-from foxtailway.distribution.placement import Role, Topology, place
+from foxtailway.distribution.placement import Role, place
 from foxtailway.distribution.tests.harness import FRESH, CoreHarness, make_hello
 from foxtailway.distribution.tests.support import (
     make_config,
@@ -19,6 +19,7 @@
     make_host_list,
     make_settings,
 )
+from foxtailway.distribution.topology import Topology
 
 N_HOSTS = 30
 ZONE_REGIONS = {"accra-a": "accra", "kumasi-a": "kumasi"}
@@ -160,14 +161,14 @@
         beacon = Beacon(age_ms=4000, n_hops=2)
         self.harness.core.context.freshness.forget()
         self.harness.receive(self.link_id, Heartbeat(beacon=beacon))
-        self.harness.accept(make_hello())
+        self.harness.accept(make_hello(zone="kumasi-a"))
         actions = self.harness.advance(1.0)
         sent = self.harness.list_sent(Heartbeat, actions)[0].beacon
         self.assertGreater(sent.age_ms, 4900)
         self.assertEqual(sent.n_hops, 3)
 
     def test_beacons_are_passed_on_at_once(self) -> None:
-        self.harness.accept(make_hello())
+        self.harness.accept(make_hello(zone="kumasi-a"))
         self.harness.advance(0.6)
         actions = self.harness.receive(self.link_id, Heartbeat(beacon=FRESH))
         self.assertEqual(len(self.harness.list_sent(Heartbeat, actions)), 2)
@@ -214,7 +215,7 @@
 
 class PauseTest(AttachedTestCase):
     def pause(self) -> list:
-        self.harness.accept(make_hello())
+        self.harness.accept(make_hello(zone="kumasi-a"))
         self.harness.now += 10.0
         return self.harness.handle(TimerFired())
 
@@ -225,17 +226,17 @@
 
     def test_a_paused_node_feeds_no_child_before_it_has_confirmed(self) -> None:
         self.pause()
-        actions = self.harness.accept(make_hello())
+        actions = self.harness.accept(make_hello(zone="kumasi-a"))
         refusal = self.harness.list_sent(SubscriptionRefused, actions)[0]
         self.assertIs(refusal.reason, RefusedReason.UNCONFIRMED)
         self.harness.welcome(self.harness.next_dial())
-        self.harness.accept(make_hello())
+        self.harness.accept(make_hello(zone="kumasi-a"))
         self.assertIsNotNone(self.harness.core.links.find_child("child"))
 
     def test_a_cut_off_node_serves_its_children_after_all(self) -> None:
         self.pause()
         self.harness.advance(2.1)
-        self.harness.accept(make_hello())
+        self.harness.accept(make_hello(zone="kumasi-a"))
         self.assertIsNotNone(self.harness.core.links.find_child("child"))
 
 
@@ -293,6 +294,18 @@
 class FallbackTest(AttachedTestCase):
     role = Role.HEAD
 
+    def test_a_parent_is_tried_right_before_the_platform(self) -> None:
+        self.harness.receive(self.link_id, Goodbye(alternates=()))
+        self.harness.core.uplink.seeker.retry_at_s = 1000.0
+        n_actions = len(self.harness.actions)
+        while not self.harness.find(Dial, self.harness.actions[n_actions:]):
+            self.harness.advance(0.1)
+        actions = self.harness.actions[n_actions:]
+        self.assertEqual(self.harness.find(Collect, actions), [])
+        self.assertLess(self.harness.now, 10.0)
+        collected = self.harness.find(Collect, self.harness.advance(2.5))
+        self.assertEqual(len(collected), 2)
+
     def test_an_orphan_turns_to_the_platform_and_back(self) -> None:
         self.harness.receive(self.link_id, Goodbye(alternates=()))
         actions = []
--- a/foxtailway/node/daemon.py
+++ b/foxtailway/node/daemon.py
@@ -93,7 +93,7 @@
             now=clock.now(),
         )
         self.gate = make_gate(settings, clock)
-        self.client = make_upstream_client(settings)
+        self.client = make_upstream_client(settings, clock)
         self.pool = ChannelPool(
             settings=settings, dialer=call_dialer, clock=clock, observer=observer
         )
@@ -199,6 +199,7 @@
     def snapshot_applied(self, snapshot: Snapshot) -> None:
         """Put a snapshot in force."""
         self.state.swap(snapshot)
+        self.observer.snapshot_swapped(snapshot)
         own_cluster = snapshot.clusters.get(self.settings.upstream.service)
         if own_cluster is not None:
             self.gate.configure(own_cluster)
@@ -246,9 +247,10 @@
     return SlotGate(queue=queue, clock=clock)
 
 
-def make_upstream_client(settings: NodeSettings) -> CurlUpstreamClient:
+def make_upstream_client(settings: NodeSettings, clock: Clock) -> CurlUpstreamClient:
     """Return the client of the host's own upstream."""
     return CurlUpstreamClient(
+        clock=clock,
         host_id=settings.host.host_id,
         address=settings.upstream.address,
         port=settings.upstream.port,
--- a/foxtailway/proxy/dispatcher.py
+++ b/foxtailway/proxy/dispatcher.py
@@ -25,6 +25,7 @@
 
 __all__ = ["CallDispatcher"]
 
+MAX_KEY_LENGTH = 200
 OBSERVATIONS = {
     RefusalReason.OVERLOADED: ObservationKind.REFUSED_OVERLOAD,
     RefusalReason.DRAINING: ObservationKind.REFUSED_DRAINING,
@@ -130,6 +131,8 @@
             return self.refuse(RefusalReason.TOO_LARGE)
         if len(call.body) > listener.max_body_size:
             return self.refuse(RefusalReason.TOO_LARGE)
+        if len(call.idempotency_key) > MAX_KEY_LENGTH:
+            return self.refuse(RefusalReason.MALFORMED)
         if call.n_hops >= listener.max_hops:
             return self.refuse(RefusalReason.HOP_LIMIT)
         route = self.state.route_table.find(call.method, call.path)
@@ -271,15 +274,24 @@
         if host.host_id == self.settings.host.host_id:
             transport = self.local
         else:
-            opened = await self.pool.channel(host)
-            if opened.is_error():
+            channel = await self.connect(planned, host)
+            if channel is None:
                 return self.refuse_unreachable(planned.request, host)
-            transport = opened.ok
+            transport = channel
         remaining_s = remaining_for_hop(deadline=planned.deadline, now=self.clock.now())
         if remaining_s is None:
             return self.refuse(RefusalReason.EXPIRED)
         return await transport.call(replace(planned.request, remaining_s=remaining_s))
 
+    async def connect(self, planned: PlannedCall, host: Host) -> CallTransport | None:
+        """Return a stream to a host, or None when there is none in time."""
+        try:
+            async with asyncio.timeout(planned.deadline - self.clock.now()):
+                opened = await self.pool.channel(host)
+        except TimeoutError:
+            return None
+        return None if opened.is_error() else opened.ok
+
     def refuse_unreachable(
         self, request: CallRequest, host: Host
     ) -> Result[CallResponse, Refusal]:
--- a/foxtailway/proxy/upstream.py
+++ b/foxtailway/proxy/upstream.py
@@ -1,15 +1,16 @@
 """HTTP client of the host's own upstream."""
 
+import re
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import pycurl
 from expression import Error, Ok, Result
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
-from tornado.httpclient import HTTPClientError, HTTPRequest
-from tornado.httputil import HTTPHeaders
+from tornado.httpclient import HTTPRequest
+from tornado.httputil import HTTPHeaders, HTTPInputError
 
+from foxtailway.common.clock import Clock
 from foxtailway.proxy.header import (
     DEADLINE_HEADER,
     HOPS_HEADER,
@@ -21,20 +22,33 @@
 
 __all__ = ["CancelToken", "CurlUpstreamClient", "UpstreamClient"]
 
-NOT_SENT_ERRORS = frozenset(
-    {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST, pycurl.E_INTERFACE_FAILED}
-)
+METHOD_PATTERN = re.compile(r"[A-Za-z!#$%&'*+.^_`|~0-9-]+")
+TARGET_PATTERN = re.compile(r"/[!-~]*")
+REASON_PHRASE_HEADER = "X-Http-Reason"
 
 
-@dataclass(slots=True, kw_only=True)
 class CancelToken:
-    """Tell a running request that its caller is gone."""
+    """Tell a request, waiting or running, that its caller is gone.
+
+    Attributes
+    ----------
+    is_cancelled : bool
+        Whether the caller is gone.
+    callbacks : list of callable
+        Called once, when the token is cancelled.
+    """
 
-    is_cancelled: bool = False
+    def __init__(self) -> None:
+        self.is_cancelled = False
+        self.callbacks: list[Callable[[], None]] = []
 
     def cancel(self) -> None:
         """Cancel the request; idempotent."""
+        if self.is_cancelled:
+            return
         self.is_cancelled = True
+        for callback in tuple(self.callbacks):
+            callback()
 
 
 class UpstreamClient(ABC):
@@ -54,7 +68,7 @@
         Returns
         -------
         Result
-            A refusal of outcome ``NOT_RUN`` only when no connection was made.
+            A refusal of outcome ``NOT_RUN`` only when no byte was sent.
         """
 
     @abstractmethod
@@ -67,6 +81,8 @@
 
     Parameters
     ----------
+    clock : Clock
+        Source of time.
     host_id : str
         Host, named in refusals.
     address : str
@@ -90,6 +106,7 @@
     def __init__(
         self,
         *,
+        clock: Clock,
         host_id: str,
         address: str,
         port: int,
@@ -97,6 +114,7 @@
         n_connections: int,
         max_body_size: int,
     ) -> None:
+        self.clock = clock
         self.host_id = host_id
         self.base_url = f"http://{address}:{port}"
         self.connect_timeout_s = connect_timeout_s
@@ -115,10 +133,23 @@
     ) -> Result[CallResponse, Refusal]:
         """Send a request once and wait for the whole answer."""
         body = ResponseBody(max_size=self.max_body_size, token=token)
+        transfer = Transfer(
+            is_idempotent=request.is_idempotent,
+            token=token,
+            clock=self.clock,
+            deadline=self.clock.now() + timeout_s,
+        )
+        malformed = self.refuse(Outcome.NOT_RUN, RefusalReason.MALFORMED)
+        if not is_valid_start(request):
+            return Error(malformed)
+        try:
+            headers = upstream_headers(request, timeout_s, credential)
+        except (HTTPInputError, ValueError):
+            return Error(malformed)
         fetch = HTTPRequest(
             self.base_url + request.target,
             method=request.method,
-            headers=upstream_headers(request, timeout_s, credential),
+            headers=headers,
             body=request.body or None,
             allow_nonstandard_methods=True,
             connect_timeout=min(self.connect_timeout_s, timeout_s),
@@ -126,16 +157,19 @@
             follow_redirects=False,
             decompress_response=False,
             streaming_callback=body.append,
-            prepare_curl_callback=make_curl_setup(request.is_idempotent, token),
+            prepare_curl_callback=transfer.prepare,
         )
         try:
             response = await self.client.fetch(fetch, raise_error=False)
         except (pycurl.error, ValueError):
-            return Error(self.refuse(Outcome.NOT_RUN, RefusalReason.MALFORMED))
-        except HTTPClientError as error:
-            return Error(self.classify_error(error, body))
-        if response.code == 599 or body.is_too_large:
-            return Error(self.classify_error(response.error, body))
+            return Error(malformed)
+        except CurlError as error:
+            if body.is_too_large:
+                return Error(self.refuse(Outcome.UNKNOWN, RefusalReason.TOO_LARGE))
+            return Error(self.classify_error(error, transfer))
+        if body.is_too_large:
+            return Error(self.refuse(Outcome.UNKNOWN, RefusalReason.TOO_LARGE))
+        response.headers.pop(REASON_PHRASE_HEADER, None)
         return Ok(
             CallResponse(
                 call_id=request.call_id,
@@ -145,20 +179,18 @@
             )
         )
 
-    def classify_error(
-        self, error: BaseException | None, body: "ResponseBody"
-    ) -> Refusal:
+    def classify_error(self, error: CurlError, transfer: "Transfer") -> Refusal:
         """Tell a request that never reached the upstream from a lost one."""
-        if body.is_too_large:
-            return self.refuse(Outcome.UNKNOWN, RefusalReason.TOO_LARGE)
-        errno = error.errno if isinstance(error, CurlError) else None
-        if errno in NOT_SENT_ERRORS:
-            return self.refuse(Outcome.NOT_RUN, RefusalReason.LOST)
-        if errno == pycurl.E_ABORTED_BY_CALLBACK:
-            return self.refuse(Outcome.UNKNOWN, RefusalReason.CANCELLED)
-        if errno == pycurl.E_OPERATION_TIMEDOUT:
-            return self.refuse(Outcome.UNKNOWN, RefusalReason.EXPIRED)
-        return self.refuse(Outcome.UNKNOWN, RefusalReason.LOST)
+        outcome = Outcome.UNKNOWN if transfer.is_sent else Outcome.NOT_RUN
+        reason = RefusalReason.LOST
+        if error.errno == pycurl.E_ABORTED_BY_CALLBACK:
+            is_cancelled = transfer.token.is_cancelled
+            reason = RefusalReason.CANCELLED if is_cancelled else RefusalReason.EXPIRED
+        elif error.errno == pycurl.E_OPERATION_TIMEDOUT and (
+            transfer.is_sent or transfer.is_expired
+        ):
+            reason = RefusalReason.EXPIRED
+        return self.refuse(outcome, reason)
 
     def refuse(self, outcome: Outcome, reason: RefusalReason) -> Refusal:
         """Return a refusal that arose at this host."""
@@ -200,21 +232,67 @@
         self.chunks.append(chunk)
 
 
-def make_curl_setup(
-    is_idempotent: bool, token: CancelToken
-) -> Callable[[pycurl.Curl], None]:
-    """Return a callback that prepares a curl handle for one request."""
+class Transfer:
+    """Prepare a curl handle for one request and follow its progress.
 
-    def report_progress(*_sizes: float) -> int:
-        return int(token.is_cancelled)
+    Parameters
+    ----------
+    is_idempotent : bool
+        Whether an open connection may be used again.
+    token : CancelToken
+        Ends the transfer when cancelled.
+    clock : Clock
+        Source of time.
+    deadline : float
+        Time after which nothing is sent, in seconds.
 
-    def prepare(curl: pycurl.Curl) -> None:
-        curl.setopt(pycurl.FRESH_CONNECT, 0 if is_idempotent else 1)
+    Attributes
+    ----------
+    is_sent : bool
+        Whether a byte of the request may have left.
+    """
+
+    def __init__(
+        self, *, is_idempotent: bool, token: CancelToken, clock: Clock, deadline: float
+    ) -> None:
+        self.is_idempotent = is_idempotent
+        self.token = token
+        self.clock = clock
+        self.deadline = deadline
+        self.is_sent = False
+
+    @property
+    def is_expired(self) -> bool:
+        """Whether the deadline has passed."""
+        return self.clock.now() >= self.deadline
+
+    def prepare(self, curl: pycurl.Curl) -> None:
+        """Set the options and callbacks of a handle."""
+        curl.setopt(pycurl.FRESH_CONNECT, 0 if self.is_idempotent else 1)
         curl.setopt(pycurl.NOPROGRESS, 0)
-        curl.setopt(pycurl.XFERINFOFUNCTION, report_progress)
+        curl.setopt(pycurl.XFERINFOFUNCTION, self.report_progress)
+        curl.setopt(pycurl.PREREQFUNCTION, self.report_connected)
         curl.setopt(pycurl.PROXY, "")
 
-    return prepare
+    def report_progress(self, *_sizes: int) -> int:
+        """Return 1 to end a transfer whose caller is gone."""
+        return int(self.token.is_cancelled)
+
+    def report_connected(self, *_addresses: object) -> int:
+        """Decide, on a ready connection, whether the request is sent.
+
+        The process may have been paused since the connection was begun.
+        """
+        if self.token.is_cancelled or self.is_expired:
+            return pycurl.PREREQFUNC_ABORT
+        self.is_sent = True
+        return pycurl.PREREQFUNC_OK
+
+
+def is_valid_start(request: CallRequest) -> bool:
+    """Whether method and target are fit for the start line of a request."""
+    has_method = METHOD_PATTERN.fullmatch(request.method) is not None
+    return has_method and TARGET_PATTERN.fullmatch(request.target) is not None
 
 
 def upstream_headers(
@@ -224,10 +302,12 @@
     headers = HTTPHeaders()
     for header in request.headers:
         headers.add(header.name, header.value)
+        header.value.encode("latin-1")
     headers[DEADLINE_HEADER] = str(max(0, int(timeout_s * 1000)))
     headers[HOPS_HEADER] = str(request.n_hops)
     if request.idempotency_key:
-        headers[IDEMPOTENCY_HEADER] = request.idempotency_key
+        headers.pop(IDEMPOTENCY_HEADER, None)
+        headers.add(IDEMPOTENCY_HEADER, request.idempotency_key)
     if credential is not None:
         headers["Authorization"] = "Bearer " + credential.decode("utf-8").strip()
     return headers
--- a/foxtailway/settings/schema.py
+++ b/foxtailway/settings/schema.py
@@ -97,11 +97,11 @@
     keys=(
         define("seeds", SeedsKind(), "", "Nodes asked before a host list is known."),
         define_number(
-            "fan_out", "16", "1", "256", "Children that a node feeds at a time."
+            "fan_out", "8", "1", "256", "Children that a node feeds at a time."
         ),
         define_number(
             "n_readers",
-            "2",
+            "3",
             "1",
             "16",
             "Nodes of the store's region that watch the platform.",
@@ -120,23 +120,25 @@
             "16",
             "Nodes of every availability zone that are fed from outside it.",
         ),
-        define_duration("heartbeat", "4s", *INTERVAL_RANGE, "Interval of heartbeats."),
+        define_duration(
+            "heartbeat", "1500ms", *INTERVAL_RANGE, "Interval of heartbeats."
+        ),
         define_duration(
             "silence",
-            "10s",
+            "4500ms",
             *INTERVAL_RANGE,
             "Silence after which a peer is left; at least two heartbeats.",
         ),
         define_duration(
             "stale",
-            "30s",
+            "20s",
             *INTERVAL_RANGE,
             "Age of the platform's confirmation above which a parent is"
             " compared with others.",
         ),
         define_duration(
             "bootstrap_timeout",
-            "3s",
+            "2s",
             *TIMEOUT_RANGE,
             "Time for which a node without a version asks its peers.",
         ),
@@ -148,17 +150,17 @@
             "Peers that a node without a version asks.",
         ),
         define_duration(
-            "retry_base", "200ms", *INTERVAL_RANGE, "First interval of retries."
+            "retry_base", "100ms", *INTERVAL_RANGE, "First interval of retries."
         ),
         define_duration(
             "retry_max",
-            "20s",
+            "5s",
             *INTERVAL_RANGE,
             "Largest interval of retries; at least the first one.",
         ),
         define_duration(
             "connect_timeout",
-            "2s",
+            "1s",
             *TIMEOUT_RANGE,
             "Longest time to connect to a peer.",
         ),
