--- a/foxtailway/node/tests/control_case.py
+++ b/foxtailway/node/tests/control_case.py
@@ -14,10 +14,11 @@
 from foxtailway.testing.subnet import claim_subnet
 from foxtailway.testing.trail import PublishedStates, PublishedWrite, find_breaches
 
-__all__ = ["TARGET_S", "ControlFailureCase"]
+__all__ = ["MESH", "N_READERS", "TARGET_S", "ControlFailureCase"]
 
 TARGET_S = 14.0
 START_S = 30.0
+MESH = "failures"
 STORE_REGION = "north"
 REMOTE_REGION = "south"
 ZONES = (
@@ -27,11 +28,13 @@
     ZonePlan(zone="south-b", region=REMOTE_REGION),
 )
 EDITED_KEY = "overlay/south-b"
+N_READERS = 2
 HEARTBEAT_S = 0.5
 SILENCE_S = 1.5
 STALE_S = 4.0
 OVERRIDES = {
     "distribution": {
+        "n_readers": str(N_READERS),
         "heartbeat": f"{HEARTBEAT_S}s",
         "silence": f"{SILENCE_S}s",
         "stale": f"{STALE_S}s",
@@ -55,7 +58,7 @@
         self.addAsyncCleanup(stack.aclose)
         folder = stack.enter_context(TemporaryDirectory())
         deployment = plan_deployment(
-            mesh="failures",
+            mesh=MESH,
             store_region=STORE_REGION,
             subnet=stack.enter_context(claim_subnet()),
             zones=ZONES,
--- a/foxtailway/node/tests/test_control_herd.py
+++ b/foxtailway/node/tests/test_control_herd.py
@@ -1,5 +1,6 @@
 from foxtailway.model.bundle import BundleKind
 from foxtailway.node.tests.control_case import (
+    N_READERS,
     REMOTE_REGION,
     STALE_S,
     START_S,
@@ -8,7 +9,6 @@
     ControlFailureCase,
 )
 
-N_READERS = 2
 WATCHES_PER_STALE = 3
 
 
--- a/foxtailway/node/tests/test_control_intruders.py
+++ b/foxtailway/node/tests/test_control_intruders.py
@@ -5,15 +5,10 @@
 
 import msgpack
 
-from foxtailway.distribution.message import (
-    PROTOCOL_VERSION,
-    Beacon,
-    ControlHello,
-    Heartbeat,
-    Purpose,
-)
+from foxtailway.distribution.message import Beacon, Heartbeat
+from foxtailway.distribution.tests.harness import make_hello
 from foxtailway.node.daemon import make_codec
-from foxtailway.node.tests.control_case import TARGET_S, ControlFailureCase
+from foxtailway.node.tests.control_case import MESH, TARGET_S, ControlFailureCase
 from foxtailway.testing.deployment import MESH_PORT
 
 SEED = 7
@@ -30,23 +25,9 @@
         self.target = self.hosts[0]
         self.codec = make_codec()
 
-    def make_hello(
-        self, *, mesh: str = "failures", protocol_version: int = PROTOCOL_VERSION
-    ) -> bytes:
-        hello = ControlHello(
-            protocol_version=protocol_version,
-            mesh=mesh,
-            host_id="intruder",
-            zone=self.target.zone,
-            address="127.0.0.1",
-            port=1,
-            purpose=Purpose.FEED,
-            is_relay=False,
-            is_preferred=False,
-            held=(),
-            staged=(),
-        )
-        return self.codec.encode(hello)
+    def make_hello(self, **changes: object) -> bytes:
+        fields = {"mesh": MESH, "zone": self.target.zone, **changes}
+        return self.codec.encode(make_hello("intruder", **fields))
 
     def list_attacks(self) -> dict[str, bytes]:
         """Return what intruders send after they connected."""
