Kill the readers before they have read the edit

Cause: in a trial with default settings every survivor held the edit 0.01 s after the kill, so that the readers had passed it on before they died. Change: the platform answers 150 ms late; the first round kills at once, the second 200 ms later.

--- a/foxtailway/node/tests/test_control_processes.py
+++ b/foxtailway/node/tests/test_control_processes.py
@@ -3,12 +3,18 @@
 from foxtailway.node.tests.control_case import SILENCE_S, ControlFailureCase
 
 N_ROUNDS = 2
-ROUND_DELAY_S = 0.02
+ROUND_DELAY_S = 0.2
+SLOW_ANSWER_S = 0.15
 
 
 class ProcessFailureTest(ControlFailureCase):
     async def test_killed_readers_and_parent(self):
-        """Kill every reader and a remote parent while an edit is on its way."""
+        """Kill every reader and a remote parent while an edit is on its way.
+
+        The platform answers slowly, so that the readers die before they have
+        read the edit, and then shortly before or after they pass it on.
+        """
+        await self.fleet.set_faults(delay_s=SLOW_ANSWER_S)
         for index in range(N_ROUNDS):
             readers = await self.list_role("reader")
             remote = [host for host in self.hosts if host.region == "south"]
