--- a/benchmarks/compile_snapshot.py
+++ b/benchmarks/compile_snapshot.py
@@ -48,18 +48,18 @@
     added_mb: float
 
 
-def build_base(timeout_ms: int) -> bytes:
+def build_base(timeout_ms: int, *, n_services: int = N_SERVICES) -> bytes:
     """Return a base file of the design size; `timeout_ms` is the edited key."""
     blocks = ["[mesh]\nname = large\ngeneration = 1\n"]
     blocks.append("[overlays]\nroute.timeout = 1ms .. 10s\nservice.queue = 0 .. 99\n")
     for zone in range(N_ZONES):
         blocks.append(f"[site zone-{zone}]\nregion = region-{zone % N_REGIONS}\n")
-    for service in range(N_SERVICES):
+    for service in range(n_services):
         blocks.append(
             f"[service s{service}]\nslots = 10\nconnections = 130\nqueue = 20\n"
         )
         for name, methods, idempotent in (("read", "GET", "yes"), ("do", "POST", "no")):
-            timeout_text = timeout_ms if service == N_SERVICES // 2 else 800
+            timeout_text = timeout_ms if service == n_services // 2 else 800
             blocks.append(
                 f"[route s{service}-{name}]\npath = /s{service}\nmethods = {methods}\n"
                 f"cluster = s{service}\nidempotent = {idempotent}\n"
--- /dev/null
+++ b/benchmarks/scale_figures.py
@@ -0,0 +1,102 @@
+"""Figures that the benchmark of nodes at the design size takes and prints."""
+
+import json
+from dataclasses import asdict, dataclass
+
+__all__ = ["Convergence", "Measure", "Phase", "Sample", "Slope", "print_figure"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Phase:
+    """Describe what the platform accepts while the nodes are measured.
+
+    Parameters
+    ----------
+    name : str
+        Name in the output.
+    duration_s : float
+        Length in seconds.
+    config_interval_s, hosts_interval_s : float or None
+        Time between two changes; None for no changes.
+    """
+
+    name: str
+    duration_s: float
+    config_interval_s: float | None
+    hosts_interval_s: float | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Measure:
+    """Hold one printed figure of one node in one phase, limits beside it."""
+
+    measure: str
+    phase: str
+    role: str
+    parent: str | None
+    n_hosts: int
+    n_services: int
+    n_children: int
+    duration_s: float
+    n_config_changes: int
+    n_host_changes: int
+    cpu_percent: float
+    cpu_limit_percent: float
+    resident_mb: float
+    resident_limit_mb: float
+    payload_bytes_per_s: float
+    wire_bytes_per_s: float
+    platform_bytes_per_s: float
+    bytes_limit_per_s: float
+    messages_per_s_and_child: float
+    n_lost_children: int
+    platform_calls_per_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Slope:
+    """Hold the cost of one change on one node, from two phases."""
+
+    measure: str
+    role: str
+    kind: str
+    n_hosts: int
+    n_services: int
+    cpu_ms_per_change: float
+    payload_bytes_per_change: float
+    wire_bytes_per_change: float
+    platform_bytes_per_change: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Convergence:
+    """Hold the times from an accepted edit until the leaf has applied it."""
+
+    measure: str
+    n_hosts: int
+    n_services: int
+    n_levels: int
+    n_changes: int
+    median_s: float
+    max_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Sample:
+    """Hold the counters of a node at one moment."""
+
+    parent: str | None
+    n_children: int
+    cpu_s: float
+    resident_mb: float
+    n_payload_bytes: int
+    n_segments: float
+    n_messages: float
+    n_losses: int
+    n_platform_bytes: float
+    n_platform_calls: float
+
+
+def print_figure(figure: Measure | Slope | Convergence) -> None:
+    """Print one figure as a JSON line."""
+    print(json.dumps(asdict(figure)), flush=True)
