Answer no call with a caller's key as not run

Cause: a node other than the key's home knows nothing of earlier calls with the key, and its refusal as not run denied a run that may have happened. Ruled out: a mark on refusals that the home vouches for; a caller with a key may send it again in any case, so unknown costs it nothing. Change: such refusals are of unknown outcome, except for malformed calls. The call tests claim their subnet, since two runs on one machine met on the same addresses. Before: the new test of the dispatcher fails without the rule; after: it passes.

--- a/foxtailway/node/daemon.py
+++ b/foxtailway/node/daemon.py
@@ -199,7 +199,7 @@
 
     def snapshot_applied(self, snapshot: Snapshot) -> None:
         """Put a snapshot in force."""
-        is_first = self.state.snapshot is None
+        previous = self.state.snapshot
         self.state.swap(snapshot)
         self.observer.snapshot_swapped(snapshot)
         own_cluster = snapshot.clusters.get(self.settings.upstream.service)
@@ -212,17 +212,27 @@
             self.clock.now(),
         )
         self.pool.retain(frozenset(snapshot.hosts))
+        self.update_topology(previous, snapshot)
+        own_host = snapshot.hosts.get(self.settings.host.host_id)
+        is_leaving = own_host is not None and own_host.state is HostState.LEAVING
+        self.responder.set_leaving(is_leaving)
+        if previous is None:
+            freeze_heap()
+
+    def update_topology(self, previous: Snapshot | None, snapshot: Snapshot) -> None:
+        """Tell the exchange of changed hosts or zones; others cost nothing."""
+        if (
+            previous is not None
+            and previous.hosts_version == snapshot.hosts_version
+            and previous.zone_regions == snapshot.zone_regions
+        ):
+            return
         self.agent.update_topology(
             Topology(
                 hosts=tuple(snapshot.hosts.values()),
                 zone_regions=snapshot.zone_regions,
             )
         )
-        own_host = snapshot.hosts.get(self.settings.host.host_id)
-        is_leaving = own_host is not None and own_host.state is HostState.LEAVING
-        self.responder.set_leaving(is_leaving)
-        if is_first:
-            freeze_heap()
 
     async def stop(self) -> None:
         """Stop gracefully: take no new work, finish what runs, then close.
--- a/foxtailway/proxy/dispatcher.py
+++ b/foxtailway/proxy/dispatcher.py
@@ -25,6 +25,8 @@
 
 __all__ = ["CallDispatcher"]
 
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+
 MAX_KEY_LENGTH = 200
 OBSERVATIONS = {
     RefusalReason.OVERLOADED: ObservationKind.REFUSED_OVERLOAD,
@@ -106,6 +108,7 @@
             self.n_in_flight -= 1
             if not self.n_in_flight:
                 self.idle.set()
+        result = qualify(call, result)
         self.observer.call_finished(result, latency_s=self.clock.now() - started)
         return result
 
@@ -328,6 +331,22 @@
         )
 
 
+def qualify(
+    call: InboundCall, result: Result[CallResponse, Refusal]
+) -> Result[CallResponse, Refusal]:
+    """Return a result that is true of all calls with the caller's key.
+
+    A refusal as not run speaks of one attempt. An earlier call with the same
+    key may have run, possibly at a home that is lost by now. Only a malformed
+    call is malformed at every node.
+    """
+    if result.is_ok() or result.error.reason is RefusalReason.MALFORMED:
+        return result
+    if not call.idempotency_key or call.method in SAFE_METHODS:
+        return result
+    return Error(replace(result.error, outcome=Outcome.UNKNOWN))
+
+
 def make_request(call: InboundCall, route: Route, remaining_s: float) -> CallRequest:
     """Return the request for a call on a route."""
     key = ""
--- a/foxtailway/proxy/tests/test_call_failures.py
+++ b/foxtailway/proxy/tests/test_call_failures.py
@@ -12,6 +12,7 @@
 
 from foxtailway.testing.deployment import HostPlan, ZonePlan, plan_deployment
 from foxtailway.testing.fleet import Fleet
+from foxtailway.testing.subnet import claim_subnet
 
 BASE = b"""
 [mesh]
@@ -70,8 +71,6 @@
 
 
 class CallFailureTest(unittest.IsolatedAsyncioTestCase):
-    subnet = 13
-
     async def asyncSetUp(self) -> None:
         self.stack = AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
@@ -79,7 +78,7 @@
         deployment = plan_deployment(
             mesh="calls",
             store_region="near",
-            subnet=self.subnet,
+            subnet=self.stack.enter_context(claim_subnet()),
             zones=ZONES,
             services=("front", "holds", "holds"),
         )
--- a/foxtailway/proxy/tests/test_dispatcher.py
+++ b/foxtailway/proxy/tests/test_dispatcher.py
@@ -193,6 +193,15 @@
         self.assertEqual(len(keys - {""}), 5)
         self.assertTrue(all(request.is_key_fresh for request in requests))
 
+    async def test_refusals_never_deny_an_earlier_run_of_a_callers_key(self) -> None:
+        dispatcher = self.dispatcher
+        dispatcher.is_stopping = True
+        for key, outcome in (("", Outcome.NOT_RUN), ("order-7", Outcome.UNKNOWN)):
+            call = make_inbound_call(method="POST", idempotency_key=key)
+            refusal = (await dispatcher.handle(call)).error
+            self.assertEqual(refusal.reason, RefusalReason.DRAINING)
+            self.assertEqual(refusal.outcome, outcome)
+
     async def test_connecting_ends_at_the_deadline_of_the_call(self) -> None:
         pool = ChannelPool(
             settings=make_node_settings(),
