Run only the benchmark modules that measure

Cause: make bench called main of shared modules, which have none. Change: modules without it are passed over. Measured: all modules import; the whole of make bench was not run.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,10 +7,13 @@
 
 
 def main() -> None:
-    """Run the modules of this folder in the order of their names."""
-    for module in iter_modules(benchmarks.__path__):
-        if module.name != "__main__":
-            import_module(f"benchmarks.{module.name}").main()
+    """Run the modules that measure, in the order of their names."""
+    for info in iter_modules(benchmarks.__path__):
+        if info.name == "__main__":
+            continue
+        module = import_module(f"benchmarks.{info.name}")
+        if hasattr(module, "main"):
+            module.main()
 
 
 if __name__ == "__main__":
