--- a/foxtailway/node/daemon.py
+++ b/foxtailway/node/daemon.py
@@ -19,7 +19,7 @@
 from foxtailway.node.observer import NodeObserver
 from foxtailway.node.status import NodeStatusReader
 from foxtailway.observe.admin import AdminServer
-from foxtailway.proxy.channel import ChannelPool
+from foxtailway.proxy.channel_pool import ChannelPool
 from foxtailway.proxy.dispatcher import CallDispatcher
 from foxtailway.proxy.ingress import HttpIngress
 from foxtailway.proxy.local import LocalTransport
--- a/foxtailway/proxy/dispatcher.py
+++ b/foxtailway/proxy/dispatcher.py
@@ -10,7 +10,8 @@
 from foxtailway.common.clock import Clock
 from foxtailway.model.host import Host
 from foxtailway.model.snapshot import Route, Snapshot
-from foxtailway.proxy.channel import CallTransport, ChannelPool
+from foxtailway.proxy.channel import CallTransport
+from foxtailway.proxy.channel_pool import ChannelPool
 from foxtailway.proxy.ingress import CallHandler, InboundCall
 from foxtailway.proxy.message import CallRequest, CallResponse
 from foxtailway.proxy.observer import CallObserver
--- a/foxtailway/proxy/runner.py
+++ b/foxtailway/proxy/runner.py
@@ -6,7 +6,7 @@
 
 from foxtailway.common.clock import Clock
 from foxtailway.model.host import Host
-from foxtailway.proxy.channel import ChannelPool
+from foxtailway.proxy.channel_pool import ChannelPool
 from foxtailway.proxy.message import CallRequest, CallResponse
 from foxtailway.proxy.observer import CallObserver
 from foxtailway.proxy.routing_state import RoutingState
--- a/foxtailway/proxy/tests/test_channel.py
+++ b/foxtailway/proxy/tests/test_channel.py
@@ -7,8 +7,8 @@
 from foxtailway.proxy.channel import (
     MAX_RETRY_AFTER_S,
     CallChannel,
-    ChannelPool,
 )
+from foxtailway.proxy.channel_pool import ChannelPool
 from foxtailway.proxy.message import (
     CallCancel,
     CallGoodbye,
--- a/foxtailway/proxy/tests/test_dispatcher.py
+++ b/foxtailway/proxy/tests/test_dispatcher.py
@@ -5,7 +5,7 @@
 from expression import Error, Ok
 
 from foxtailway.common import MonotonicClock
-from foxtailway.proxy.channel import ChannelPool
+from foxtailway.proxy.channel_pool import ChannelPool
 from foxtailway.proxy.dispatcher import CallDispatcher
 from foxtailway.proxy.tests.fakes import (
     OWN_HOST_ID,
