--- /dev/null
+++ b/foxtailway/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: settings, store and names on the wire."""
--- /dev/null
+++ b/foxtailway/platform/feed.py
@@ -0,0 +1,174 @@
+"""Following of the platform's store."""
+
+import asyncio
+from random import Random
+
+from foxtailway.platform.document import (
+    DocumentError,
+    decode_configuration,
+    decode_upstream,
+)
+from foxtailway.platform.names import CONFIG_KEY, UPSTREAM_PREFIX
+from foxtailway.platform.store import (
+    HistoryLostError,
+    StoreClient,
+    StoreError,
+    StoreItem,
+)
+from foxtailway.sidecar.node import SidecarNode
+
+__all__ = ["StoreFeed"]
+
+WATCH_WAIT_S = 20.0
+# Pause after an answer, so that a series of changes costs few calls.
+COALESCE_S = 0.5
+FIRST_BACKOFF_S = 0.15
+MAX_BACKOFF_S = 1.0
+ALL_KEYS = ""
+
+
+class StoreFeed:
+    """Keep a sidecar's configuration and membership up to date.
+
+    Parameters
+    ----------
+    client : StoreClient
+        Client of the store.
+    node : SidecarNode
+        Receives configurations and upstreams.
+    random_source : Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self, *, client: StoreClient, node: SidecarNode, random_source: Random
+    ) -> None:
+        self.client = client
+        self.node = node
+        self.random_source = random_source
+        self.loop = asyncio.get_running_loop()
+        self.revision: int | None = None
+        self.backoff_s = FIRST_BACKOFF_S
+        self.is_lost = False
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        while True:
+            try:
+                if self.revision is None:
+                    await self.list_all()
+                else:
+                    await self.watch_once()
+            except HistoryLostError as error:
+                self.node.log.write("store_history_lost", error=error)
+                self.revision = None
+            except StoreError as error:
+                await self.back_off(error)
+
+    async def back_off(self, error: StoreError) -> None:
+        """Note that the store failed and wait before the next call."""
+        self.node.membership.registry_failed(self.loop.time())
+        if not self.is_lost:
+            self.is_lost = True
+            self.node.log.write("store_lost", error=error, revision=self.revision)
+        await asyncio.sleep(self.backoff_s * (0.5 + self.random_source.random()))
+        self.backoff_s = min(MAX_BACKOFF_S, self.backoff_s * 2)
+
+    def answered(self) -> None:
+        """Note that the store works."""
+        self.backoff_s = FIRST_BACKOFF_S
+        if self.is_lost:
+            self.is_lost = False
+            self.node.membership.registry_failed(self.loop.time())
+            self.node.log.write("store_regained", revision=self.revision)
+
+    async def list_all(self) -> None:
+        """Read all keys.
+
+        Pages are read one after the other, so changes are followed from the
+        revision of the first one.
+        """
+        revision: int | None = None
+        items: list[StoreItem] = []
+        after = ""
+        while True:
+            page = await self.client.list_page(ALL_KEYS, after)
+            if revision is None:
+                revision = page.revision
+            items.extend(page.items)
+            if not page.has_more or not page.items:
+                break
+            after = page.items[-1].key
+        self.answered()
+        self.revision = revision
+        upstreams = [
+            upstream
+            for item in items
+            if item.key.startswith(UPSTREAM_PREFIX)
+            and (upstream := self.decode_upstream(item)) is not None
+        ]
+        self.node.membership.replace_all(tuple(upstreams), self.loop.time())
+        for item in items:
+            if item.key == CONFIG_KEY:
+                self.take_configuration(item)
+        self.node.membership_changed()
+
+    async def watch_once(self) -> None:
+        """Wait for changes and take them over."""
+        page = await self.client.watch(ALL_KEYS, self.revision, WATCH_WAIT_S)
+        self.answered()
+        self.revision = max(self.revision, page.revision)
+        for item in page.items:
+            self.take(item)
+        if page.items:
+            self.node.membership_changed()
+            await asyncio.sleep(COALESCE_S)
+
+    def take(self, item: StoreItem) -> None:
+        """Take over one change."""
+        if item.key == CONFIG_KEY:
+            self.take_configuration(item)
+        elif item.key.startswith(UPSTREAM_PREFIX):
+            self.take_upstream(item)
+
+    def take_upstream(self, item: StoreItem) -> None:
+        """Take over the change of an upstream's entry."""
+        upstream_id = item.key.removeprefix(UPSTREAM_PREFIX)
+        if item.is_removed:
+            self.node.membership.remove(upstream_id, self.loop.time())
+            self.node.log.write(
+                "upstream_removed", upstream=upstream_id, revision=item.revision
+            )
+            return
+        upstream = self.decode_upstream(item)
+        if upstream is not None:
+            self.node.membership.put(upstream)
+            self.node.log.write(
+                "upstream_changed",
+                upstream=upstream_id,
+                state=upstream.state.value,
+                address=upstream.address,
+                revision=item.revision,
+            )
+
+    def decode_upstream(self, item: StoreItem) -> object | None:
+        """Return the upstream of an entry, or None for a foreign entry."""
+        upstream_id = item.key.removeprefix(UPSTREAM_PREFIX)
+        try:
+            return decode_upstream(item.key, upstream_id, item.content or b"")
+        except DocumentError as error:
+            self.node.log.write("entry_ignored", error=error, revision=item.revision)
+            return None
+
+    def take_configuration(self, item: StoreItem) -> None:
+        """Put a newer configuration in force."""
+        if item.content is None:
+            return
+        try:
+            configuration = decode_configuration(item.key, item.content)
+        except DocumentError as error:
+            self.node.log.write(
+                "configuration_rejected", error=error, revision=item.revision
+            )
+            return
+        self.node.apply(configuration)
--- /dev/null
+++ b/foxtailway/platform/names.py
@@ -0,0 +1,18 @@
+"""Names on the platform's wire."""
+
+from foxtailway.sidecar.http_message import HeaderNames
+
+__all__ = ["HEADER_NAMES", "CONFIG_KEY", "READY_PATH", "UPSTREAM_PREFIX"]
+
+CONFIG_KEY = "op/config"
+UPSTREAM_PREFIX = "servers/"
+READY_PATH = "/v1/ready"
+
+HEADER_NAMES = HeaderNames(
+    request_id=b"attempt-id",
+    remaining_ms=b"deadline-remaining",
+    seal=b"response-seal",
+    expected_upstream=b"expect-instance",
+    not_run=b"not-executed",
+    caller=b"caller-service",
+)
--- /dev/null
+++ b/foxtailway/platform/settings.py
@@ -0,0 +1,127 @@
+"""Settings file of the platform."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from foxtailway.platform.quantity import parse_duration
+
+__all__ = ["Endpoint", "SettingsError", "SidecarSettings", "read_settings"]
+
+ZONE_PREFIX = "zones."
+
+
+class SettingsError(Exception):
+    """Report a settings file that cannot be used.
+
+    Parameters
+    ----------
+    path : str
+        Settings file.
+    detail : str
+        What is wrong.
+    """
+
+    def __init__(self, *, path: str, detail: str) -> None:
+        super().__init__(f"settings {path}: {detail}")
+        self.path = path
+        self.detail = detail
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Endpoint:
+    """Hold an IP address and a TCP port."""
+
+    address: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SidecarSettings:
+    """Hold the settings of one sidecar.
+
+    Parameters
+    ----------
+    host_id, zone, service : str
+        Host, its availability zone and the service of its upstream.
+    zone_regions : Mapping of str to str
+        Region of each availability zone.
+    client_listener, peer_listener, ready_listener : Endpoint
+        Where clients, other sidecars and the platform's readiness check connect.
+    upstream, store : Endpoint
+        The upstream on this host and the platform's store.
+    grace_s : float
+        Time between SIGTERM and SIGKILL, in seconds.
+    retry_ratio, retry_slack, retry_window_s : float
+        Retry budget of the fleet for each service.
+    """
+
+    host_id: str
+    zone: str
+    service: str
+    zone_regions: Mapping[str, str]
+    client_listener: Endpoint
+    peer_listener: Endpoint
+    ready_listener: Endpoint
+    upstream: Endpoint
+    store: Endpoint
+    grace_s: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window_s: float
+
+
+def read_settings(path: str) -> SidecarSettings:
+    """Read the settings file at `path` or raise `SettingsError`."""
+    try:
+        with open(path, encoding="utf-8") as stream:
+            return build_settings(parse_lines(stream.read()))
+    except (OSError, ValueError, KeyError) as error:
+        raise SettingsError(path=path, detail=repr(error)) from error
+
+
+def parse_lines(text: str) -> dict[str, str]:
+    r"""Return the fields of lines such as ``a.b=value``.
+
+    Examples
+    --------
+    >>> parse_lines("a.b=1\nc=x=y")
+    {'a.b': '1', 'c': 'x=y'}
+    """
+    fields = {}
+    for line in text.splitlines():
+        name, separator, value = line.partition("=")
+        if separator:
+            fields[name.strip()] = value.strip()
+    return fields
+
+
+def build_settings(fields: Mapping[str, str]) -> SidecarSettings:
+    """Return the settings that the fields hold."""
+    zone_regions = {
+        name.removeprefix(ZONE_PREFIX): value
+        for name, value in fields.items()
+        if name.startswith(ZONE_PREFIX)
+    }
+    return SidecarSettings(
+        host_id=fields["node_name"],
+        zone=fields["zone"],
+        service=fields["service"],
+        zone_regions=zone_regions,
+        client_listener=parse_endpoint(fields["listen_addrs.outbound"]),
+        peer_listener=parse_endpoint(fields["listen_addrs.inbound"]),
+        ready_listener=parse_endpoint(fields["listen_addrs.ready"]),
+        upstream=parse_endpoint(fields["app_addr"]),
+        store=parse_endpoint(fields["platform.address"]),
+        grace_s=parse_duration(fields["bounds.grace"]),
+        retry_ratio=float(fields["bounds.retry_budget_ratio"]),
+        retry_slack=float(fields["bounds.retry_budget_slack"]),
+        retry_window_s=parse_duration(fields["bounds.retry_window"]),
+    )
+
+
+def parse_endpoint(text: str) -> Endpoint:
+    """Return the endpoint written as ``address:port``."""
+    address, _, port = text.rpartition(":")
+    if not address:
+        raise ValueError(f"no address in {text!r}")
+    return Endpoint(address=address, port=int(port))
--- /dev/null
+++ b/foxtailway/platform/store.py
@@ -0,0 +1,196 @@
+"""Client of the platform's store."""
+
+import asyncio
+import json
+from base64 import b64decode
+from binascii import Error as Base64Error
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import urlencode
+
+from foxtailway.platform.settings import Endpoint
+from foxtailway.sidecar.http_connection import (
+    ExchangeError,
+    HttpConnection,
+    connect_http,
+)
+from foxtailway.sidecar.peer_stream import set_keepalive
+
+__all__ = ["HistoryLostError", "StoreClient", "StoreError", "StoreItem", "StorePage"]
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 2.0
+
+
+class StoreError(Exception):
+    """Report a call that the store did not answer.
+
+    Parameters
+    ----------
+    step : str
+        Call that failed.
+    peer : str
+        ``address:port`` of the store.
+    detail : str
+        Status or error.
+    """
+
+    def __init__(self, *, step: str, peer: str, detail: str) -> None:
+        super().__init__(f"{step} {peer}: {detail}")
+        self.step = step
+        self.peer = peer
+        self.detail = detail
+
+
+class HistoryLostError(StoreError):
+    """Report that the changes after a revision are no longer known."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreItem:
+    """Hold one key of the store.
+
+    Parameters
+    ----------
+    key : str
+        Key.
+    revision : int
+        Revision of its last change.
+    content : bytes or None
+        Value; None when the key was removed or its value cannot be decoded.
+    is_removed : bool
+        Whether the key was removed.
+    """
+
+    key: str
+    revision: int
+    content: bytes | None
+    is_removed: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StorePage:
+    """Hold the items of one answer and the store's revision."""
+
+    items: tuple[StoreItem, ...]
+    revision: int
+    has_more: bool
+
+
+class StoreClient:
+    """Read and watch keys over one kept connection.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        Address of the store.
+
+    Attributes
+    ----------
+    n_calls : int
+        Calls made so far; the platform charges each.
+    """
+
+    def __init__(self, *, endpoint: Endpoint) -> None:
+        self.endpoint = endpoint
+        self.peer = f"{endpoint.address}:{endpoint.port}"
+        self.connection: HttpConnection | None = None
+        self.n_calls = 0
+
+    async def list_page(self, prefix: str, after: str) -> StorePage:
+        """Return the items of a prefix behind the key `after`."""
+        query = {"prefix": prefix}
+        if after:
+            query["after"] = after
+        answer = await self.call("kv-range", query, READ_TIMEOUT_S)
+        return StorePage(
+            items=tuple(read_item(item) for item in answer["items"]),
+            revision=answer["store_revision"],
+            has_more=answer["has_more"],
+        )
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> StorePage:
+        """Wait for changes behind a revision.
+
+        Returns
+        -------
+        StorePage
+            Changes in order; none when `wait_s` passed without any.
+
+        Raises
+        ------
+        HistoryLostError
+            When the changes are no longer known.
+        StoreError
+            When the store did not answer.
+        """
+        query = {
+            "prefix": prefix,
+            "after": str(after),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
+        answer = await self.call("kv-watch", query, wait_s + READ_TIMEOUT_S)
+        return StorePage(
+            items=tuple(read_item(item) for item in answer["events"]),
+            revision=answer["store_revision"],
+            has_more=False,
+        )
+
+    async def call(
+        self, name: str, query: dict[str, str], timeout_s: float
+    ) -> dict[str, Any]:
+        """Make one call and return its body."""
+        self.n_calls += 1
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self.connect()
+                reply = await connection.request(self.encode(name, query))
+            if reply.status == 200:
+                return json.loads(reply.body)
+        except (ExchangeError, TimeoutError, ValueError) as error:
+            self.close()
+            detail = str(error) or "timeout"
+            raise StoreError(step=name, peer=self.peer, detail=detail) from error
+        if reply.status == 410:
+            raise HistoryLostError(step=name, peer=self.peer, detail="status 410")
+        self.close()
+        raise StoreError(step=name, peer=self.peer, detail=f"status {reply.status}")
+
+    async def connect(self) -> HttpConnection:
+        """Return the kept connection or a new one."""
+        if self.connection is None or not self.connection.is_reusable:
+            self.connection = await connect_http(
+                address=self.endpoint.address,
+                port=self.endpoint.port,
+                timeout_s=CONNECT_TIMEOUT_S,
+            )
+            set_keepalive(self.connection.transport.get_extra_info("socket"))
+        return self.connection
+
+    def encode(self, name: str, query: dict[str, str]) -> bytes:
+        """Return the request of a call."""
+        lines = f"GET /v1/{name}?{urlencode(query)} HTTP/1.1\r\nHost: {self.peer}"
+        return f"{lines}\r\n\r\n".encode()
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
+
+
+def read_item(item: dict[str, Any]) -> StoreItem:
+    """Return an item or an event of the store."""
+    is_removed = bool(item.get("tombstone"))
+    content = None
+    if not is_removed:
+        try:
+            content = b64decode(item["value"], validate=True)
+        except (Base64Error, ValueError, KeyError, TypeError):
+            content = None
+    return StoreItem(
+        key=item["key"],
+        revision=item["revision"],
+        content=content,
+        is_removed=is_removed,
+    )
--- a/foxtailway/routing/__init__.py
+++ b/foxtailway/routing/__init__.py
@@ -1,79 +1,59 @@
 """Routing decisions: balancing, limits, retries and idempotency."""
 
-from foxtailway.routing.admission import AdmissionQueue, make_admission_queue
-from foxtailway.routing.admission_decision import (
-    AdmissionDecision,
-    Admitted,
-    PendingCall,
-    Rejected,
-)
-from foxtailway.routing.balancer import CallObservation, LoadBalancer, ObservationKind
-from foxtailway.routing.deadline import (
-    PauseDetector,
-    receive_deadline,
-    remaining_for_hop,
-)
-from foxtailway.routing.home import HomeDecision, HomeGuard, HomeVerdict, choose_home
-from foxtailway.routing.ledger import (
-    LedgerDecision,
-    LedgerVerdict,
-    RequestLedger,
-    digest_request_key,
-)
-from foxtailway.routing.limit import AdaptiveLimit, FixedLimit, LimitPolicy
-from foxtailway.routing.outcome import Outcome, Refusal, RefusalReason
-from foxtailway.routing.quarantine import CrashContainment, fingerprint
-from foxtailway.routing.queue_order import (
-    NewestFirstUnderOverload,
-    OldestFirst,
-    QueueOrder,
-)
-from foxtailway.routing.rendezvous import choose_host, choose_hosts
-from foxtailway.routing.retry import RetryBudget, RetryDecision, RetryPolicy
-from foxtailway.routing.route_table import RouteTable
-from foxtailway.routing.session import AnswerVerdict, CallSession, EndedCall
-from foxtailway.routing.zone_balancer import ZoneAwareBalancer
+from importlib import import_module
+from typing import Any
 
-__all__ = [
-    "AdaptiveLimit",
-    "AdmissionDecision",
-    "AdmissionQueue",
-    "Admitted",
-    "AnswerVerdict",
-    "CallObservation",
-    "CallSession",
-    "CrashContainment",
-    "EndedCall",
-    "FixedLimit",
-    "HomeDecision",
-    "HomeGuard",
-    "HomeVerdict",
-    "LedgerDecision",
-    "LedgerVerdict",
-    "LimitPolicy",
-    "LoadBalancer",
-    "NewestFirstUnderOverload",
-    "ObservationKind",
-    "OldestFirst",
-    "Outcome",
-    "PauseDetector",
-    "PendingCall",
-    "QueueOrder",
-    "Refusal",
-    "RefusalReason",
-    "Rejected",
-    "RequestLedger",
-    "RetryBudget",
-    "RetryDecision",
-    "RetryPolicy",
-    "RouteTable",
-    "ZoneAwareBalancer",
-    "choose_home",
-    "choose_host",
-    "choose_hosts",
-    "digest_request_key",
-    "fingerprint",
-    "make_admission_queue",
-    "receive_deadline",
-    "remaining_for_hop",
-]
+# Modules load when a name is first used, so that a process pays for what it needs.
+MODULE_BY_NAME = {
+    "AdaptiveLimit": "foxtailway.routing.limit",
+    "AdmissionDecision": "foxtailway.routing.admission_decision",
+    "AdmissionQueue": "foxtailway.routing.admission",
+    "Admitted": "foxtailway.routing.admission_decision",
+    "AnswerVerdict": "foxtailway.routing.session",
+    "CallObservation": "foxtailway.routing.balancer",
+    "CallSession": "foxtailway.routing.session",
+    "CrashContainment": "foxtailway.routing.quarantine",
+    "EndedCall": "foxtailway.routing.session",
+    "FixedLimit": "foxtailway.routing.limit",
+    "HomeDecision": "foxtailway.routing.home",
+    "HomeGuard": "foxtailway.routing.home",
+    "HomeVerdict": "foxtailway.routing.home",
+    "LedgerDecision": "foxtailway.routing.ledger",
+    "LedgerVerdict": "foxtailway.routing.ledger",
+    "LimitPolicy": "foxtailway.routing.limit",
+    "LoadBalancer": "foxtailway.routing.balancer",
+    "NewestFirstUnderOverload": "foxtailway.routing.queue_order",
+    "ObservationKind": "foxtailway.routing.balancer",
+    "OldestFirst": "foxtailway.routing.queue_order",
+    "Outcome": "foxtailway.routing.outcome",
+    "PauseDetector": "foxtailway.routing.deadline",
+    "PendingCall": "foxtailway.routing.admission_decision",
+    "QueueOrder": "foxtailway.routing.queue_order",
+    "Refusal": "foxtailway.routing.outcome",
+    "RefusalReason": "foxtailway.routing.outcome",
+    "Rejected": "foxtailway.routing.admission_decision",
+    "RequestLedger": "foxtailway.routing.ledger",
+    "RetryBudget": "foxtailway.routing.retry",
+    "RetryDecision": "foxtailway.routing.retry",
+    "RetryPolicy": "foxtailway.routing.retry",
+    "RouteTable": "foxtailway.routing.route_table",
+    "ZoneAwareBalancer": "foxtailway.routing.zone_balancer",
+    "choose_home": "foxtailway.routing.home",
+    "choose_host": "foxtailway.routing.rendezvous",
+    "choose_hosts": "foxtailway.routing.rendezvous",
+    "digest_request_key": "foxtailway.routing.ledger",
+    "fingerprint": "foxtailway.routing.quarantine",
+    "make_admission_queue": "foxtailway.routing.admission",
+    "receive_deadline": "foxtailway.routing.deadline",
+    "remaining_for_hop": "foxtailway.routing.deadline",
+}
+
+__all__ = sorted(MODULE_BY_NAME)
+
+
+def __getattr__(name: str) -> Any:
+    """Return a public name from the module that defines it."""
+    module_name = MODULE_BY_NAME.get(name)
+    if module_name is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(module_name), name)
--- /dev/null
+++ b/foxtailway/sidecar/dispatcher.py
@@ -0,0 +1,334 @@
+"""Carriage of clients' requests to chosen upstreams."""
+
+import asyncio
+from random import Random
+
+from foxtailway.routing.outcome import Outcome, RefusalReason
+from foxtailway.sidecar.call import (
+    CallRefusal,
+    CallResult,
+    UpstreamAnswer,
+    UpstreamCall,
+)
+from foxtailway.sidecar.http_listener import RequestHandler
+from foxtailway.sidecar.http_message import Answer, ClientRequest, HeaderNames
+from foxtailway.sidecar.log import EventLog
+from foxtailway.sidecar.peer_pool import PeerPool
+from foxtailway.sidecar.upstream_runner import UpstreamRunner
+from foxtailway.traffic.configuration import TrafficConfiguration, TrafficRoute
+from foxtailway.traffic.membership import Membership, Upstream
+from foxtailway.traffic.retry_budget import RetryBudget
+from foxtailway.traffic.route_index import RouteIndex
+from foxtailway.traffic.selection import UpstreamSelector, UpstreamView
+from foxtailway.traffic.split import SplitChooser
+
+__all__ = ["RequestDispatcher"]
+
+# Hosts that a request may be offered to while none of them ran it.
+N_OFFERS = 4
+# Time a caller is asked to stay away, in seconds.
+RETRY_AFTER_OVERLOADED_S = 0.1
+RETRY_AFTER_UNAVAILABLE_S = 0.3
+STATUSES = {
+    RefusalReason.NO_ROUTE: 404,
+    RefusalReason.MALFORMED: 400,
+}
+UNKNOWN_STATUSES = {RefusalReason.EXPIRED: 504}
+ANSWER_BAD_GATEWAY = 502
+ANSWER_UNAVAILABLE = 503
+
+
+class PlannedRequest:
+    """Hold a request, its route and its deadlines.
+
+    Parameters
+    ----------
+    request : ClientRequest
+        Request of the client.
+    route : TrafficRoute
+        Route that it takes.
+    service : str
+        Service that runs it.
+    due_at, deadline : float
+        Loop times at which an answer is late and at which the client or the
+        route gives up, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        request: ClientRequest,
+        route: TrafficRoute,
+        service: str,
+        due_at: float,
+        deadline: float,
+    ) -> None:
+        self.request = request
+        self.route = route
+        self.service = service
+        self.due_at = due_at
+        self.deadline = deadline
+
+
+class RequestDispatcher(RequestHandler):
+    """Choose upstreams for requests and repeat those that may be repeated.
+
+    Parameters
+    ----------
+    names : HeaderNames
+        Headers that carry meaning for the mesh.
+    service : str
+        Service on this host, told to the upstreams as the caller.
+    address : str
+        IP address of this host.
+    membership : Membership
+        Upstreams that exist.
+    selector : UpstreamSelector
+        Chooses among them.
+    peers : PeerPool
+        Streams to other hosts.
+    runner : UpstreamRunner
+        Runs requests for the upstream on this host.
+    retry_ratio, retry_slack, retry_window_s : float
+        Retry budget of the fleet for each service.
+    log : EventLog
+        Receiver of decisions.
+    random_source : Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        names: HeaderNames,
+        service: str,
+        address: str,
+        membership: Membership,
+        selector: UpstreamSelector,
+        peers: PeerPool,
+        runner: UpstreamRunner,
+        retry_ratio: float,
+        retry_slack: float,
+        retry_window_s: float,
+        log: EventLog,
+        random_source: Random,
+    ) -> None:
+        self.names = names
+        self.service = service
+        self.address = address
+        self.membership = membership
+        self.selector = selector
+        self.peers = peers
+        self.runner = runner
+        self.retry_ratio = retry_ratio
+        self.retry_slack = retry_slack
+        self.retry_window_s = retry_window_s
+        self.log = log
+        self.random_source = random_source
+        self.loop = asyncio.get_running_loop()
+        self.configuration: TrafficConfiguration | None = None
+        self.index = RouteIndex()
+        self.splits = SplitChooser(random_source=random_source)
+        self.budgets: dict[str, RetryBudget] = {}
+
+    def apply(self, configuration: TrafficConfiguration) -> None:
+        """Put a version in force for all requests that come after it."""
+        self.configuration = configuration
+        self.index = RouteIndex(routes=configuration.routes)
+        self.splits.retain(configuration.routes)
+
+    async def handle(self, request: ClientRequest) -> Answer:
+        """Return the final answer to a request."""
+        planned = self.plan(request)
+        if isinstance(planned, CallRefusal):
+            return self.conclude(request, planned)
+        result = await self.carry(planned)
+        if isinstance(result, CallRefusal):
+            return self.conclude(request, result)
+        return result.answer
+
+    def plan(self, request: ClientRequest) -> PlannedRequest | CallRefusal:
+        """Find the route, the service and the deadline of a request."""
+        if self.configuration is None:
+            return refuse(RefusalReason.NOT_READY)
+        if not request.target.startswith("/"):
+            return refuse(RefusalReason.MALFORMED)
+        route = self.index.find(request.host, request.target)
+        if route is None:
+            return refuse(RefusalReason.NO_ROUTE)
+        now = self.loop.time()
+        remaining_s = route.timeout_s
+        if request.remaining_ms is not None:
+            remaining_s = min(remaining_s, request.remaining_ms / 1000)
+        return PlannedRequest(
+            request=request,
+            route=route,
+            service=self.splits.choose(route),
+            due_at=now + route.target_latency_s,
+            deadline=now + remaining_s,
+        )
+
+    async def carry(self, planned: PlannedRequest) -> CallResult:
+        """Offer a request until it ran, may have run or is given up."""
+        budget = self.find_budget(planned.service)
+        budget.record_request(self.loop.time())
+        head = b"%b%b: %b\r\n" % (
+            planned.request.head,
+            self.names.caller,
+            self.service.encode("latin-1"),
+        )
+        refused: set[str] = set()
+        n_runs = 0
+        result: CallResult = refuse(RefusalReason.NO_ENDPOINT)
+        for _ in range(N_OFFERS):
+            view = self.choose(planned, frozenset(refused))
+            if view is None:
+                return result
+            result = await self.offer(planned, view, head)
+            if isinstance(result, UpstreamAnswer):
+                if not self.is_worth_repeating(planned, result):
+                    return result
+            elif result.outcome is Outcome.UNKNOWN and not planned.route.is_idempotent:
+                return result
+            refused.add(view.upstream.upstream_id)
+            if isinstance(result, UpstreamAnswer) or result.is_offered:
+                n_runs += 1
+                if not self.may_repeat(planned, n_runs, budget):
+                    return result
+            if self.loop.time() >= planned.deadline:
+                return result
+        return result
+
+    def choose(
+        self, planned: PlannedRequest, refused: frozenset[str]
+    ) -> UpstreamView | None:
+        """Return the upstream for the next offer."""
+        return self.selector.choose(
+            route=planned.route,
+            upstreams=self.membership.list_ready(planned.service),
+            excluded=refused,
+            due_at=planned.due_at,
+            deadline=planned.deadline,
+            now=self.loop.time(),
+        )
+
+    async def offer(
+        self, planned: PlannedRequest, view: UpstreamView, head: bytes
+    ) -> CallResult:
+        """Send a request to the node beside an upstream."""
+        call = make_call(planned, view.upstream, head)
+        self.selector.sent(view)
+        try:
+            if view.upstream.address == self.address:
+                result = await self.runner.run(call)
+            else:
+                result = await self.peers.call(view.upstream.address, call)
+        finally:
+            self.selector.finished(view)
+        self.learn(planned, view, result)
+        return result
+
+    def learn(
+        self, planned: PlannedRequest, view: UpstreamView, result: CallResult
+    ) -> None:
+        """Record what a result tells of the upstream."""
+        now = self.loop.time()
+        self.selector.record_report(view, result.load, now)
+        if isinstance(result, UpstreamAnswer):
+            if result.answer.status < 500:
+                self.selector.record_run(
+                    view, planned.route.name, result.run_time_s, now
+                )
+            else:
+                self.selector.record_failure(view, now)
+            return
+        if result.reason in (
+            RefusalReason.NO_ENDPOINT,
+            RefusalReason.NOT_READY,
+            RefusalReason.DRAINING,
+        ):
+            self.selector.record_unreachable(view, now)
+        elif result.is_offered:
+            self.selector.record_failure(view, now)
+
+    def is_worth_repeating(
+        self, planned: PlannedRequest, result: UpstreamAnswer
+    ) -> bool:
+        """Whether an upstream's own failure may be answered by another one."""
+        return planned.route.is_idempotent and result.answer.status in (500, 502, 503)
+
+    def may_repeat(
+        self, planned: PlannedRequest, n_runs: int, budget: RetryBudget
+    ) -> bool:
+        """Whether a request may reach one more upstream."""
+        if n_runs >= planned.route.max_attempts:
+            return False
+        now = self.loop.time()
+        if now >= planned.deadline:
+            return False
+        return budget.try_repeat(max(1, len(self.membership.upstreams)), now)
+
+    def find_budget(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(
+                ratio=self.retry_ratio,
+                slack=self.retry_slack,
+                window_s=self.retry_window_s,
+            )
+            self.budgets[service] = budget
+        return budget
+
+    def conclude(self, request: ClientRequest, refusal: CallRefusal) -> Answer:
+        """Return the answer that tells a client of a refusal."""
+        status = choose_status(refusal)
+        self.log.write(
+            "refused",
+            request.request_id or "-",
+            status=status,
+            outcome=refusal.outcome.value,
+            reason=refusal.reason.value,
+            is_offered=refusal.is_offered,
+            version=self.configuration.version if self.configuration else None,
+        )
+        if status != ANSWER_UNAVAILABLE:
+            return Answer(status=status)
+        delay_s = RETRY_AFTER_UNAVAILABLE_S
+        if refusal.reason is RefusalReason.OVERLOADED:
+            delay_s = RETRY_AFTER_OVERLOADED_S
+        delay_s *= 0.5 + self.random_source.random()
+        return Answer(status=status, head=b"Retry-After: %.3f\r\n" % delay_s)
+
+
+def refuse(reason: RefusalReason) -> CallRefusal:
+    """Return the refusal of a request that was not offered to any upstream."""
+    return CallRefusal(outcome=Outcome.NOT_RUN, reason=reason)
+
+
+def choose_status(refusal: CallRefusal) -> int:
+    """Return the HTTP status of a refusal.
+
+    Only 503 promises that the request did not run.
+    """
+    if refusal.outcome is Outcome.NOT_RUN:
+        return STATUSES.get(refusal.reason, ANSWER_UNAVAILABLE)
+    return UNKNOWN_STATUSES.get(refusal.reason, ANSWER_BAD_GATEWAY)
+
+
+def make_call(planned: PlannedRequest, upstream: Upstream, head: bytes) -> UpstreamCall:
+    """Return the call that offers a request to an upstream."""
+    request = planned.request
+    return UpstreamCall(
+        upstream_id=upstream.upstream_id,
+        route=planned.route.name,
+        is_idempotent=planned.route.is_idempotent,
+        priority=planned.route.priority,
+        due_at=planned.due_at,
+        deadline=planned.deadline,
+        method=request.method,
+        target=request.target,
+        request_id=request.request_id,
+        head=head,
+        body=request.body,
+    )
--- /dev/null
+++ b/foxtailway/sidecar/http_connection.py
@@ -0,0 +1,273 @@
+"""Client side of one HTTP/1.1 connection."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import httptools
+
+__all__ = ["ExchangeError", "HttpConnection", "HttpReply", "connect_http"]
+
+MAX_REPLY_SIZE = 80_000_000
+CONNECTION_HEADER = b"connection"
+KEEP_ALIVE_HEADER = b"keep-alive"
+# Part of the announced idle time after which a connection is not used again.
+IDLE_SHARE = 0.7
+
+
+class ExchangeError(Exception):
+    """Report an exchange that brought no whole response.
+
+    Parameters
+    ----------
+    step : str
+        Step of the exchange: ``connect``, ``receive`` or ``decode``.
+    peer : str
+        ``address:port`` of the other side.
+    detail : str
+        Explanation for an operator.
+    """
+
+    def __init__(self, *, step: str, peer: str, detail: str) -> None:
+        super().__init__(f"{step} {peer}: {detail}")
+        self.step = step
+        self.peer = peer
+        self.detail = detail
+
+
+@dataclass(slots=True, kw_only=True)
+class HttpReply:
+    """Hold a response of a server.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : list of tuple of bytes
+        Names as received and values.
+    body : bytes
+        Whole body.
+    """
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes = field(repr=False)
+
+    def find(self, name: bytes) -> bytes | None:
+        """Return the value of the first header of a lower-case name."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+
+class HttpConnection(asyncio.Protocol):
+    """Send one request at a time and collect its response.
+
+    Parameters
+    ----------
+    peer : str
+        ``address:port`` of the server, named in errors.
+    id_header : bytes or None, default=None
+        Lower-case name of the header in which the server repeats the request's
+        identifier. Responses with another identifier are dropped.
+
+    Attributes
+    ----------
+    is_reusable : bool
+        Whether another request may be sent.
+    idle_since : float
+        Loop time at which the last exchange ended, in seconds.
+    idle_limit_s : float
+        Time for which the server keeps an idle connection, in seconds.
+    n_exchanges : int
+        Requests sent so far.
+
+    Notes
+    -----
+    A request is never sent again by this class.
+    """
+
+    def __init__(self, *, peer: str, id_header: bytes | None = None) -> None:
+        self.peer = peer
+        self.id_header = id_header
+        self.loop = asyncio.get_running_loop()
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.exchange: asyncio.Future[HttpReply] | None = None
+        self.expected_id: bytes | None = None
+        self.is_head = False
+        self.is_reusable = True
+        self.idle_since = self.loop.time()
+        self.idle_limit_s = 4.0
+        self.n_exchanges = 0
+        self.start_message()
+
+    def start_message(self) -> None:
+        """Forget the response read so far."""
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.chunks: list[bytes] = []
+        self.n_bytes = 0
+        self.is_head_complete = False
+        self.is_framed = False
+        self.is_closing = False
+
+    def request(
+        self, data: bytes, *, expected_id: bytes | None = None, is_head: bool = False
+    ) -> "asyncio.Future[HttpReply]":
+        """Send a request; the future ends with the reply or `ExchangeError`."""
+        self.exchange = self.loop.create_future()
+        self.expected_id = expected_id
+        self.is_head = is_head
+        self.n_exchanges += 1
+        self.transport.write(data)
+        return self.exchange
+
+    def close(self) -> None:
+        """Close the connection at once; idempotent."""
+        self.is_reusable = False
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Take over the transport."""
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes."""
+        if self.exchange is None:
+            self.close()
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self.fail("decode", str(error))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the exchange, with its reply if only the close was missing."""
+        self.is_reusable = False
+        is_until_close = self.is_head_complete and not self.is_framed
+        if exc is None and is_until_close and self.exchange is not None:
+            self.complete()
+            return
+        self.fail("receive", "connection lost" if exc is None else str(exc))
+
+    def on_message_begin(self) -> None:
+        """Start a response."""
+        if self.exchange is None:
+            self.is_reusable = False
+        self.start_message()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header."""
+        self.headers.append((name, value))
+        lowered = name.lower()
+        if lowered in (b"content-length", b"transfer-encoding"):
+            self.is_framed = True
+        elif lowered == CONNECTION_HEADER and b"close" in value.lower():
+            self.is_closing = True
+        elif lowered == KEEP_ALIVE_HEADER:
+            self.idle_limit_s = parse_idle_limit(value, self.idle_limit_s)
+
+    def on_headers_complete(self) -> None:
+        """Note the end of the headers."""
+        status = self.parser.get_status_code()
+        if status < 200:
+            return
+        self.is_head_complete = True
+        if self.is_head:
+            self.is_closing = True
+            self.complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self.n_bytes += len(body)
+        if self.n_bytes > MAX_REPLY_SIZE:
+            self.fail("receive", "response too large")
+            return
+        self.chunks.append(body)
+
+    def on_message_complete(self) -> None:
+        """End the exchange with the reply, unless it belongs to another one."""
+        if self.parser.get_status_code() >= 200:
+            self.complete()
+
+    def complete(self) -> None:
+        """Hand the reply to the waiting exchange."""
+        if self.exchange is None or self.exchange.done():
+            self.is_reusable = False
+            return
+        reply = HttpReply(
+            status=self.parser.get_status_code(),
+            headers=self.headers,
+            body=self.chunks[0] if len(self.chunks) == 1 else b"".join(self.chunks),
+        )
+        if self.is_foreign(reply):
+            self.is_reusable = False
+            return
+        if self.is_closing or not self.is_framed:
+            self.is_reusable = False
+        if self.transport.get_write_buffer_size():
+            self.is_reusable = False
+        exchange = self.exchange
+        self.exchange = None
+        self.idle_since = self.loop.time()
+        exchange.set_result(reply)
+
+    def is_foreign(self, reply: HttpReply) -> bool:
+        """Whether a reply names another request than the one that waits."""
+        if self.id_header is None or self.expected_id is None:
+            return False
+        found = reply.find(self.id_header)
+        return found is not None and found != self.expected_id
+
+    def fail(self, step: str, detail: str) -> None:
+        """End the exchange without a reply and close."""
+        exchange = self.exchange
+        self.exchange = None
+        self.close()
+        if exchange is not None and not exchange.done():
+            exchange.set_exception(
+                ExchangeError(step=step, peer=self.peer, detail=detail)
+            )
+
+    def can_reuse(self, now: float, max_idle_s: float) -> bool:
+        """Whether a request may be sent after the idle time so far."""
+        idle_s = now - self.idle_since
+        limit_s = min(max_idle_s, self.idle_limit_s * IDLE_SHARE)
+        return self.is_reusable and self.exchange is None and idle_s < limit_s
+
+
+def parse_idle_limit(value: bytes, default_s: float) -> float:
+    """Return the timeout of a ``Keep-Alive`` header in seconds.
+
+    Examples
+    --------
+    >>> parse_idle_limit(b"timeout=5, max=10", 1.0)
+    5.0
+    """
+    for part in value.split(b","):
+        name, _, text = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and text.isdigit():
+            return float(text)
+    return default_s
+
+
+async def connect_http(
+    *,
+    address: str,
+    port: int,
+    timeout_s: float,
+    id_header: bytes | None = None,
+) -> HttpConnection:
+    """Open a connection or raise `ExchangeError` of step ``connect``."""
+    peer = f"{address}:{port}"
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, connection = await loop.create_connection(
+                lambda: HttpConnection(peer=peer, id_header=id_header), address, port
+            )
+    except (OSError, TimeoutError) as error:
+        detail = str(error) or "timeout"
+        raise ExchangeError(step="connect", peer=peer, detail=detail) from error
+    return connection
--- /dev/null
+++ b/foxtailway/sidecar/http_message.py
@@ -0,0 +1,157 @@
+"""HTTP messages as the sidecar passes them on."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from http.client import responses
+
+__all__ = [
+    "HOP_BY_HOP_NAMES",
+    "Answer",
+    "ClientRequest",
+    "HeaderNames",
+    "encode_headers",
+    "encode_request",
+    "encode_response",
+]
+
+HOP_BY_HOP_NAMES = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+BODILESS_STATUSES = frozenset({204, 304})
+STATUS_LINES = {
+    status: f"HTTP/1.1 {status} {phrase}\r\n".encode()
+    for status, phrase in responses.items()
+}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HeaderNames:
+    """Name the headers that carry meaning for the mesh, in lower case.
+
+    Parameters
+    ----------
+    request_id : bytes
+        Identifies one attempt of a client; upstreams repeat it.
+    remaining_ms : bytes
+        Time that the sender waits, in milliseconds.
+    seal : bytes
+        Upstream's signature; every success of an upstream carries it.
+    expected_upstream : bytes
+        Identifier of the only upstream that may run the request.
+    not_run : bytes
+        Present when an upstream did not run the request.
+    caller : bytes
+        Service on the host at which the request began.
+    """
+
+    request_id: bytes
+    remaining_ms: bytes
+    seal: bytes
+    expected_upstream: bytes
+    not_run: bytes
+    caller: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClientRequest:
+    """Hold a whole request of a client.
+
+    Parameters
+    ----------
+    method, target, host : str
+        Method, request target and value of the ``Host`` header.
+    request_id : str
+        Identifier of the attempt; empty when the client sent none.
+    remaining_ms : int or None
+        Time that the client waits, in milliseconds, or None when not told.
+    head : bytes
+        End-to-end header lines, each ending with CR LF, the host included.
+    body : bytes
+        Whole body.
+    """
+
+    method: str
+    target: str
+    host: str
+    request_id: str
+    remaining_ms: int | None
+    head: bytes = field(repr=False)
+    body: bytes = field(repr=False)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Answer:
+    """Hold a whole response.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    head : bytes
+        End-to-end header lines, each ending with CR LF.
+    body : bytes
+        Whole body.
+    """
+
+    status: int
+    head: bytes = field(default=b"", repr=False)
+    body: bytes = field(default=b"", repr=False)
+
+
+def encode_headers(headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+    r"""Return header lines for pairs of name and value.
+
+    Examples
+    --------
+    >>> encode_headers([(b"A", b"1")])
+    b'A: 1\r\n'
+    """
+    return b"".join([b"%b: %b\r\n" % pair for pair in headers])
+
+
+def encode_request(method: str, target: str, head: bytes, body: bytes) -> bytes:
+    """Return a request with its length."""
+    start = f"{method} {target} HTTP/1.1\r\n".encode("latin-1")
+    if body or method in ("POST", "PUT", "PATCH"):
+        return b"%b%bContent-Length: %d\r\n\r\n%b" % (start, head, len(body), body)
+    return b"%b%b\r\n" % (start, head)
+
+
+def encode_response(answer: Answer, *, is_head: bool, is_last: bool) -> bytes:
+    """Return a response with its length.
+
+    Parameters
+    ----------
+    answer : Answer
+        Response to send.
+    is_head : bool
+        Whether it answers a ``HEAD`` request and so has no body.
+    is_last : bool
+        Whether the connection is closed behind it.
+    """
+    start = STATUS_LINES.get(answer.status)
+    if start is None:
+        start = b"HTTP/1.1 %d Unknown\r\n" % answer.status
+    closing = b"Connection: close\r\n" if is_last else b""
+    if answer.status in BODILESS_STATUSES:
+        return b"%b%b%b\r\n" % (start, answer.head, closing)
+    body = b"" if is_head else answer.body
+    return b"%b%b%bContent-Length: %d\r\n\r\n%b" % (
+        start,
+        answer.head,
+        closing,
+        len(answer.body),
+        body,
+    )
--- /dev/null
+++ b/foxtailway/sidecar/log.py
@@ -0,0 +1,86 @@
+"""Events of the sidecar as JSON lines."""
+
+import json
+import os
+import time
+from collections import deque
+
+__all__ = ["EventLog"]
+
+# Lines that wait for a slow reader; further ones are dropped and counted.
+MAX_WAITING_LINES = 2_000
+# Lines of requests written in a second; lines about the process always pass.
+MAX_REQUEST_LINES_PER_S = 50
+
+
+class EventLog:
+    """Write one JSON line for each event and never wait for its reader.
+
+    Parameters
+    ----------
+    host_id : str
+        Host, a member of every line.
+    descriptor : int, default=1
+        File descriptor to write to.
+
+    Attributes
+    ----------
+    n_dropped : int
+        Lines dropped because of the rate or of a slow reader.
+    """
+
+    def __init__(self, *, host_id: str, descriptor: int = 1) -> None:
+        self.host_id = host_id
+        self.descriptor = descriptor
+        self.waiting: deque[bytes] = deque()
+        self.n_dropped = 0
+        self.second = 0
+        self.n_in_second = 0
+
+    def open(self) -> None:
+        """Make the descriptor non-blocking."""
+        os.set_blocking(self.descriptor, False)
+
+    def write(self, event: str, request_id: str = "", **fields: object) -> None:
+        """Write an event; one that belongs to a request counts for the rate."""
+        now = time.time()
+        if request_id and not self.take_allowance(int(now)):
+            self.n_dropped += 1
+            return
+        line: dict[str, object] = {
+            "time": round(now, 3),
+            "host": self.host_id,
+            "event": event,
+        }
+        if request_id:
+            line["request_id"] = request_id
+        line.update(fields)
+        self.push(json.dumps(line, default=str).encode() + b"\n")
+
+    def take_allowance(self, second: int) -> bool:
+        """Whether one more line of a request fits into the second."""
+        if second != self.second:
+            self.second = second
+            self.n_in_second = 0
+        self.n_in_second += 1
+        return self.n_in_second <= MAX_REQUEST_LINES_PER_S
+
+    def push(self, line: bytes) -> None:
+        """Write what the reader takes and keep the rest."""
+        if len(self.waiting) >= MAX_WAITING_LINES:
+            self.n_dropped += 1
+            return
+        self.waiting.append(line)
+        while self.waiting:
+            try:
+                n_written = os.write(self.descriptor, self.waiting[0])
+            except BlockingIOError:
+                return
+            except OSError:
+                self.n_dropped += len(self.waiting)
+                self.waiting.clear()
+                return
+            if n_written < len(self.waiting[0]):
+                self.waiting[0] = self.waiting[0][n_written:]
+                return
+            self.waiting.popleft()
--- /dev/null
+++ b/foxtailway/sidecar/node.py
@@ -0,0 +1,184 @@
+"""Composition of one sidecar."""
+
+import asyncio
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from foxtailway.sidecar.dispatcher import RequestDispatcher
+from foxtailway.sidecar.http_listener import HttpListener
+from foxtailway.sidecar.http_message import HeaderNames
+from foxtailway.sidecar.log import EventLog
+from foxtailway.sidecar.peer_listener import PeerListener
+from foxtailway.sidecar.peer_pool import PeerPool
+from foxtailway.sidecar.peer_stream import make_peer_codec
+from foxtailway.sidecar.ready import ReadyHandler
+from foxtailway.sidecar.upstream_pool import UpstreamPool
+from foxtailway.sidecar.upstream_runner import UpstreamRunner
+from foxtailway.traffic.configuration import TrafficConfiguration
+from foxtailway.traffic.membership import Membership
+from foxtailway.traffic.selection import UpstreamSelector
+
+__all__ = ["SidecarNode", "StopTimes"]
+
+TICK_S = 0.1
+POLL_S = 0.02
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StopTimes:
+    """Hold the steps of a graceful stop, in seconds after its begin.
+
+    Parameters
+    ----------
+    goodbye_s : float
+        When peers are told to send no new requests.
+    close_s : float
+        When idle client connections are closed.
+    end_s : float
+        When the process ends although requests are in flight.
+    """
+
+    goodbye_s: float = 2.0
+    close_s: float = 2.6
+    end_s: float = 5.6
+
+
+class SidecarNode:
+    """Own all parts of a sidecar and start and stop them in order.
+
+    Parameters
+    ----------
+    settings : object
+        Settings with the attributes of `foxtailway.platform.settings`.
+    names : HeaderNames
+        Headers that carry meaning for the mesh.
+    ready_path : str
+        Path of the readiness check.
+    log : EventLog
+        Receiver of events.
+    random_source : Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Any,
+        names: HeaderNames,
+        ready_path: str,
+        log: EventLog,
+        random_source: Random,
+    ) -> None:
+        self.settings = settings
+        self.log = log
+        self.loop = asyncio.get_running_loop()
+        self.exit_stack = AsyncExitStack()
+        self.is_stopping = False
+        self.membership = Membership()
+        codec = make_peer_codec()
+        self.selector = UpstreamSelector(
+            zone=settings.zone,
+            zone_regions=settings.zone_regions,
+            random_source=random_source,
+        )
+        self.peers = PeerPool(port=settings.peer_listener.port, codec=codec, log=log)
+        self.runner = UpstreamRunner(
+            names=names,
+            pool=UpstreamPool(
+                address=settings.upstream.address,
+                port=settings.upstream.port,
+                id_header=names.request_id,
+            ),
+            membership=self.membership,
+            log=log,
+        )
+        self.peer_listener = PeerListener(
+            runner=self.runner, codec=codec, address=settings.peer_listener.address
+        )
+        self.dispatcher = RequestDispatcher(
+            names=names,
+            service=settings.service,
+            address=settings.upstream.address,
+            membership=self.membership,
+            selector=self.selector,
+            peers=self.peers,
+            runner=self.runner,
+            retry_ratio=settings.retry_ratio,
+            retry_slack=settings.retry_slack,
+            retry_window_s=settings.retry_window_s,
+            log=log,
+            random_source=random_source,
+        )
+        self.client_listener = HttpListener(handler=self.dispatcher, names=names)
+        self.ready_listener = HttpListener(
+            handler=ReadyHandler(path=ready_path, is_ready=self.is_ready), names=names
+        )
+
+    async def start(self) -> None:
+        """Listen on all ports."""
+        settings = self.settings
+        self.exit_stack.callback(self.runner.close)
+        self.exit_stack.callback(self.peers.close)
+        await self.peer_listener.listen(port=settings.peer_listener.port)
+        self.exit_stack.callback(self.peer_listener.close)
+        for listener, endpoint in (
+            (self.client_listener, settings.client_listener),
+            (self.ready_listener, settings.ready_listener),
+        ):
+            await listener.listen(address=endpoint.address, port=endpoint.port)
+            self.exit_stack.callback(listener.close)
+        self.ticker = self.loop.call_later(TICK_S, self.tick)
+
+    def tick(self) -> None:
+        """Give up lapsed upstreams."""
+        self.membership.expire(self.loop.time())
+        self.ticker = self.loop.call_later(TICK_S, self.tick)
+
+    def is_ready(self) -> bool:
+        """Whether new work is taken."""
+        return not self.is_stopping and self.dispatcher.configuration is not None
+
+    def apply(self, configuration: TrafficConfiguration) -> None:
+        """Put a configuration in force, unless it is not newer."""
+        current = self.dispatcher.configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self.dispatcher.apply(configuration)
+        self.client_listener.limits = configuration.limits
+        self.log.write(
+            "configuration_applied",
+            version=configuration.version,
+            n_routes=len(configuration.routes),
+        )
+
+    def membership_changed(self) -> None:
+        """Drop what is known of upstreams that are gone."""
+        upstreams = self.membership.upstreams
+        self.selector.retain(frozenset(upstreams))
+        self.peers.retain(frozenset(item.address for item in upstreams.values()))
+
+    async def stop(self, times: StopTimes) -> None:
+        """Stop gracefully and return when nothing is in flight any more.
+
+        Clients and peers are told first and served meanwhile, since a
+        readiness check needs some time to take effect.
+        """
+        self.is_stopping = True
+        await asyncio.sleep(times.goodbye_s)
+        self.peer_listener.say_goodbye()
+        await asyncio.sleep(times.close_s - times.goodbye_s)
+        self.client_listener.close_idle()
+        self.runner.is_stopping = True
+        for _ in range(int((times.end_s - times.close_s) / POLL_S)):
+            if not self.n_in_flight:
+                break
+            await asyncio.sleep(POLL_S)
+        self.ticker.cancel()
+        await self.exit_stack.aclose()
+
+    @property
+    def n_in_flight(self) -> int:
+        """Requests of clients and peers that are not finished."""
+        return self.client_listener.n_answering + self.peer_listener.n_running
--- /dev/null
+++ b/foxtailway/sidecar/peer_message.py
@@ -0,0 +1,168 @@
+"""Messages between sidecars."""
+
+from dataclasses import dataclass, field
+
+from foxtailway.routing.outcome import Outcome, RefusalReason
+
+__all__ = [
+    "PEER_MESSAGE_TYPES",
+    "PeerAnswer",
+    "PeerCancel",
+    "PeerGoodbye",
+    "PeerLoad",
+    "PeerPing",
+    "PeerPong",
+    "PeerRefusal",
+    "PeerRequest",
+]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerLoad:
+    """Tell how busy the upstream beside the sender is.
+
+    Parameters
+    ----------
+    n_busy : int
+        Requests that run or wait.
+    n_slots : int
+        Requests that run at once.
+    run_time_us : int
+        Mean run time in microseconds.
+    """
+
+    n_busy: int
+    n_slots: int
+    run_time_us: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerRequest:
+    """Ask the sidecar beside an upstream to run a request.
+
+    Parameters
+    ----------
+    call_id : int
+        Identifier, unique on the stream.
+    upstream_id : str
+        The only upstream that may run the request.
+    route : str
+        Route of the request, under which run times are averaged.
+    is_idempotent : bool
+        Whether it may be broken off and run again.
+    priority : int
+        Rank; 0 is served first.
+    due_ms : int
+        Time until an answer is late, in milliseconds; may be negative.
+    remaining_ms : int
+        Time until the caller gives up, in milliseconds.
+    method, target, request_id : str
+        Start of the request and its identifier.
+    head : bytes
+        End-to-end header lines.
+    body : bytes
+        Whole body.
+    """
+
+    call_id: int
+    upstream_id: str
+    route: str
+    is_idempotent: bool
+    priority: int
+    due_ms: int
+    remaining_ms: int
+    method: str
+    target: str
+    request_id: str
+    head: bytes = field(repr=False)
+    body: bytes = field(repr=False)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerAnswer:
+    """Return the upstream's answer.
+
+    Parameters
+    ----------
+    call_id : int
+        Identifier of the request.
+    status : int
+        HTTP status of the upstream.
+    head, body : bytes
+        End-to-end header lines and whole body.
+    run_time_us : int
+        Time that the upstream took, in microseconds.
+    load : PeerLoad or None
+        Load of the upstream.
+    """
+
+    call_id: int
+    status: int
+    head: bytes = field(repr=False)
+    body: bytes = field(repr=False)
+    run_time_us: int
+    load: PeerLoad | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerRefusal:
+    """Tell that a request brought no answer of the upstream.
+
+    Parameters
+    ----------
+    call_id : int
+        Identifier of the request.
+    outcome : Outcome
+        ``NOT_RUN`` only when the upstream did not run it and never will.
+    reason : RefusalReason
+        Reason of the refusal.
+    is_offered : bool
+        Whether the request reached the upstream.
+    load : PeerLoad or None
+        Load of the upstream, if it is known.
+    """
+
+    call_id: int
+    outcome: Outcome
+    reason: RefusalReason
+    is_offered: bool
+    load: PeerLoad | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerCancel:
+    """Tell that the caller of a request has left."""
+
+    call_id: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerPing:
+    """Ask for a sign of life."""
+
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerPong:
+    """Answer a ping."""
+
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerGoodbye:
+    """Tell that the sender stops and takes no new requests."""
+
+    address: str
+
+
+PEER_MESSAGE_TYPES = (
+    PeerRequest,
+    PeerAnswer,
+    PeerRefusal,
+    PeerCancel,
+    PeerPing,
+    PeerPong,
+    PeerGoodbye,
+)
--- /dev/null
+++ b/foxtailway/sidecar/ready.py
@@ -0,0 +1,30 @@
+"""Readiness check of the sidecar."""
+
+from collections.abc import Callable
+
+from foxtailway.sidecar.http_listener import RequestHandler
+from foxtailway.sidecar.http_message import Answer, ClientRequest
+
+__all__ = ["ReadyHandler"]
+
+
+class ReadyHandler(RequestHandler):
+    """Answer 200 while the sidecar takes new work and 503 otherwise.
+
+    Parameters
+    ----------
+    path : str
+        Path of the check.
+    is_ready : callable
+        Whether the sidecar takes new work.
+    """
+
+    def __init__(self, *, path: str, is_ready: Callable[[], bool]) -> None:
+        self.path = path
+        self.is_ready = is_ready
+
+    async def handle(self, request: ClientRequest) -> Answer:
+        """Answer a check."""
+        if request.target.partition("?")[0] != self.path:
+            return Answer(status=404)
+        return Answer(status=200 if self.is_ready() else 503)
--- /dev/null
+++ b/foxtailway/sidecar/upstream_runner.py
@@ -0,0 +1,282 @@
+"""Running of requests at the upstream beside the sidecar."""
+
+import asyncio
+
+from foxtailway.routing.outcome import Outcome, RefusalReason
+from foxtailway.sidecar.call import (
+    CallRefusal,
+    CallResult,
+    UpstreamAnswer,
+    UpstreamCall,
+)
+from foxtailway.sidecar.http_connection import (
+    ExchangeError,
+    HttpConnection,
+    HttpReply,
+)
+from foxtailway.sidecar.http_message import (
+    HOP_BY_HOP_NAMES,
+    Answer,
+    HeaderNames,
+    encode_headers,
+    encode_request,
+)
+from foxtailway.sidecar.log import EventLog
+from foxtailway.sidecar.upstream_pool import UpstreamPool
+from foxtailway.traffic.membership import Membership
+from foxtailway.traffic.selection import LoadReport
+from foxtailway.traffic.slot_queue import QueuedRequest, SlotQueue
+
+__all__ = ["UpstreamRunner"]
+
+# An upstream answers by itself at the deadline; this is left for its answer.
+ANSWER_SLACK_S = 0.12
+MIN_REMAINING_S = 0.004
+TICK_S = 0.02
+DEFAULT_N_SLOTS = 8
+
+
+class UpstreamRunner:
+    """Run requests in the slots of the upstream on this host.
+
+    All requests for the upstream pass through this object, wherever they
+    entered, so it knows how many run and which may still start.
+
+    Parameters
+    ----------
+    names : HeaderNames
+        Headers that carry meaning for the mesh.
+    pool : UpstreamPool
+        Connections to the upstream.
+    membership : Membership
+        Upstreams that exist.
+    log : EventLog
+        Receiver of decisions.
+    """
+
+    def __init__(
+        self,
+        *,
+        names: HeaderNames,
+        pool: UpstreamPool,
+        membership: Membership,
+        log: EventLog,
+    ) -> None:
+        self.names = names
+        self.pool = pool
+        self.membership = membership
+        self.log = log
+        self.loop = asyncio.get_running_loop()
+        self.queue = SlotQueue(n_slots=DEFAULT_N_SLOTS)
+        self.waiters: dict[QueuedRequest, asyncio.Future[bool]] = {}
+        self.ticker: asyncio.TimerHandle | None = None
+        self.is_stopping = False
+
+    @property
+    def n_busy(self) -> int:
+        """Requests that run or wait."""
+        return self.queue.n_busy
+
+    def report_load(self) -> LoadReport:
+        """Return the load of the upstream."""
+        return LoadReport(
+            n_busy=self.queue.n_busy,
+            n_slots=self.queue.n_slots,
+            run_time_s=self.queue.mean_run_time_s,
+        )
+
+    async def run(self, call: UpstreamCall) -> CallResult:
+        """Run a request once, or refuse it."""
+        objection = self.find_objection(call)
+        if objection is not None:
+            return self.refuse(objection)
+        request = QueuedRequest(
+            priority=call.priority,
+            due_at=call.due_at,
+            deadline=call.deadline,
+            kind=call.route,
+            arrived_at=self.loop.time(),
+        )
+        if not await self.wait_for_slot(request):
+            return self.refuse(RefusalReason.OVERLOADED)
+        return await self.run_in_slot(call)
+
+    def find_objection(self, call: UpstreamCall) -> RefusalReason | None:
+        """Return why a request must not start here, or None."""
+        if self.is_stopping:
+            return RefusalReason.DRAINING
+        upstream = self.membership.upstreams.get(call.upstream_id)
+        if upstream is not None:
+            self.queue.n_slots = max(1, upstream.n_slots)
+        if self.membership.is_leaving(call.upstream_id):
+            return RefusalReason.DRAINING
+        if call.deadline - self.loop.time() < MIN_REMAINING_S:
+            return RefusalReason.EXPIRED
+        return None
+
+    async def wait_for_slot(self, request: QueuedRequest) -> bool:
+        """Wait for a slot; return False when the request is refused."""
+        admitted = self.queue.offer(request, self.loop.time())
+        if admitted is not None:
+            return admitted
+        waiter = self.loop.create_future()
+        self.waiters[request] = waiter
+        self.start_ticker()
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            self.waiters.pop(request, None)
+            if waiter.done() and not waiter.cancelled() and waiter.result():
+                self.release_slot()
+            else:
+                self.queue.withdraw(request)
+            raise
+
+    def start_ticker(self) -> None:
+        """Look at the waiting requests soon."""
+        if self.ticker is None:
+            self.ticker = self.loop.call_later(TICK_S, self.tick)
+
+    def tick(self) -> None:
+        """Refuse the waiting requests that have become hopeless."""
+        self.ticker = None
+        for request in self.queue.drop_hopeless(self.loop.time()):
+            self.wake(request, False)
+        if self.queue.waiting:
+            self.start_ticker()
+
+    def wake(self, request: QueuedRequest, is_admitted: bool) -> None:
+        """Tell a waiting request its fate."""
+        waiter = self.waiters.pop(request, None)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(is_admitted)
+        elif is_admitted:
+            self.queue.release()
+
+    def release_slot(self) -> None:
+        """Give a slot back and hand it to the next request."""
+        self.queue.release()
+        following = self.queue.take_next(self.loop.time())
+        if following is not None:
+            self.wake(following, True)
+
+    async def run_in_slot(self, call: UpstreamCall) -> CallResult:
+        """Send a request for which a slot is held."""
+        is_running = False
+        try:
+            objection = self.find_objection(call)
+            if objection is not None:
+                return self.refuse(objection)
+            try:
+                connection = await self.pool.acquire(is_idempotent=call.is_idempotent)
+            except ExchangeError as error:
+                self.log.write("upstream_unreachable", call.request_id, error=error)
+                return self.refuse(RefusalReason.NOT_READY)
+            objection = self.find_objection(call)
+            if objection is not None:
+                self.pool.release(connection)
+                return self.refuse(objection)
+            exchange = self.send(connection, call)
+            is_running = True
+            return await self.await_reply(call, connection, exchange)
+        finally:
+            if not is_running:
+                self.release_slot()
+
+    def send(
+        self, connection: HttpConnection, call: UpstreamCall
+    ) -> "asyncio.Future[HttpReply]":
+        """Send a request; its slot is held until the exchange ends."""
+        names = self.names
+        started = self.loop.time()
+        head = b"%b%b: %d\r\n%b: %b\r\n" % (
+            call.head,
+            names.remaining_ms,
+            max(1, int((call.deadline - started) * 1000)),
+            names.expected_upstream,
+            call.upstream_id.encode("latin-1"),
+        )
+        exchange = connection.request(
+            encode_request(call.method, call.target, head, call.body),
+            expected_id=call.request_id.encode("latin-1") or None,
+            is_head=call.method == "HEAD",
+        )
+
+        def finish(done: "asyncio.Future[HttpReply]") -> None:
+            if not done.cancelled() and done.exception() is None:
+                reply = done.result()
+                if reply.find(names.not_run) is None:
+                    run_time_s = self.loop.time() - started
+                    self.queue.record_run_time(call.route, run_time_s)
+            self.pool.release(connection)
+            self.release_slot()
+
+        exchange.add_done_callback(finish)
+        return exchange
+
+    async def await_reply(
+        self,
+        call: UpstreamCall,
+        connection: HttpConnection,
+        exchange: "asyncio.Future[HttpReply]",
+    ) -> CallResult:
+        """Wait for the upstream's reply until a little after the deadline."""
+        started = self.loop.time()
+        try:
+            async with asyncio.timeout_at(call.deadline + ANSWER_SLACK_S):
+                reply = await asyncio.shield(exchange)
+        except TimeoutError:
+            connection.fail("receive", "no answer at the deadline")
+            return self.refuse(RefusalReason.EXPIRED, is_offered=True)
+        except asyncio.CancelledError:
+            if call.is_idempotent:
+                connection.fail("receive", "the caller has left")
+            raise
+        except ExchangeError as error:
+            self.log.write("upstream_lost", call.request_id, error=error)
+            return self.refuse(RefusalReason.LOST, is_offered=True)
+        return self.judge(call, reply, self.loop.time() - started)
+
+    def judge(
+        self, call: UpstreamCall, reply: HttpReply, run_time_s: float
+    ) -> CallResult:
+        """Decide what a reply of the upstream means."""
+        if reply.find(self.names.not_run) is not None or reply.status == 421:
+            return CallRefusal(
+                outcome=Outcome.NOT_RUN,
+                reason=RefusalReason.OVERLOADED,
+                is_offered=True,
+                load=self.report_load(),
+            )
+        is_success = 200 <= reply.status < 300
+        if is_success and reply.find(self.names.seal) is None:
+            self.log.write("answer_without_seal", call.request_id, status=reply.status)
+            return self.refuse(RefusalReason.LOST, is_offered=True)
+        return UpstreamAnswer(
+            answer=Answer(
+                status=reply.status,
+                head=encode_headers(
+                    pair
+                    for pair in reply.headers
+                    if pair[0].lower() not in HOP_BY_HOP_NAMES
+                ),
+                body=reply.body,
+            ),
+            run_time_s=run_time_s,
+            load=self.report_load(),
+        )
+
+    def refuse(self, reason: RefusalReason, *, is_offered: bool = False) -> CallRefusal:
+        """Return a refusal; one that was offered may have run."""
+        return CallRefusal(
+            outcome=Outcome.UNKNOWN if is_offered else Outcome.NOT_RUN,
+            reason=reason,
+            is_offered=is_offered,
+            load=self.report_load(),
+        )
+
+    def close(self) -> None:
+        """Close all connections to the upstream."""
+        if self.ticker is not None:
+            self.ticker.cancel()
+        self.pool.close()
--- /dev/null
+++ b/foxtailway/traffic/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about calls of host-and-prefix routes, without input or output."""
