--- a/foxtailway/platform/main.py
+++ b/foxtailway/platform/main.py
@@ -60,7 +60,7 @@
 def main(arguments: list[str] | None = None) -> int:
     """Run the command line."""
     parser = argparse.ArgumentParser(
-        prog="python3 -m foxtailway.platform.main",
+        prog="python3 -m foxtailway.platform",
         description="Carry calls beside an upstream on the users' platform.",
     )
     parser.add_argument(
@@ -79,7 +79,3 @@
     log = EventLog(host_id=settings.host_id)
     log.open()
     return asyncio.run(serve(settings, log))
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/foxtailway/sidecar/http_listener.py
+++ b/foxtailway/sidecar/http_listener.py
@@ -57,6 +57,8 @@
         self.queue: deque[tuple[ClientRequest, bool]] = deque()
         self.task: asyncio.Task | None = None
         self.is_broken = False
+        self.n_header_bytes = 0
+        self.n_completed = 0
         self.changed_at = self.loop.time()
         self.started_at: float | None = None
         self.reset_message()
@@ -66,7 +68,6 @@
         self.url = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.chunks: list[bytes] = []
-        self.n_header_bytes = 0
         self.n_body_bytes = 0
         self.is_head_complete = False
 
@@ -93,17 +94,17 @@
             return
         if self.started_at is None:
             self.started_at = self.loop.time()
-        if not self.is_head_complete:
-            self.n_header_bytes += len(data)
+        n_completed = self.n_completed
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.reject(ANSWER_BAD_REQUEST)
         except httptools.HttpParserError:
             self.reject(ANSWER_BAD_REQUEST)
-        limit = self.listener.limits.max_header_size
-        if not self.is_head_complete and self.n_header_bytes > limit:
-            self.reject(ANSWER_HEADERS_TOO_LARGE)
+        if not self.is_head_complete and self.n_completed == n_completed:
+            self.n_header_bytes += len(data)
+            if self.n_header_bytes > self.listener.limits.max_header_size:
+                self.reject(ANSWER_HEADERS_TOO_LARGE)
 
     def on_message_begin(self) -> None:
         """Start a request."""
@@ -137,6 +138,8 @@
         if self.is_broken:
             return
         self.started_at = None
+        self.n_header_bytes = 0
+        self.n_completed += 1
         request = self.build_request()
         self.queue.append((request, self.parser.should_keep_alive()))
         if len(self.queue) > N_PIPELINED:
--- a/foxtailway/sidecar/http_message.py
+++ b/foxtailway/sidecar/http_message.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from http.client import responses
+from http import HTTPStatus
 
 __all__ = [
     "HOP_BY_HOP_NAMES",
@@ -31,8 +31,8 @@
 )
 BODILESS_STATUSES = frozenset({204, 304})
 STATUS_LINES = {
-    status: f"HTTP/1.1 {status} {phrase}\r\n".encode()
-    for status, phrase in responses.items()
+    status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode()
+    for status in HTTPStatus
 }
 
 
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -95,7 +95,10 @@
             log=log,
         )
         self.peer_listener = PeerListener(
-            runner=self.runner, codec=codec, address=settings.peer_listener.address
+            runner=self.runner,
+            codec=codec,
+            address=settings.peer_listener.address,
+            log=log,
         )
         self.dispatcher = RequestDispatcher(
             names=names,
--- a/foxtailway/sidecar/peer_listener.py
+++ b/foxtailway/sidecar/peer_listener.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from foxtailway.sidecar.call import CallRefusal, CallResult, UpstreamCall
+from foxtailway.sidecar.log import EventLog
 from foxtailway.sidecar.peer_message import (
     PeerAnswer,
     PeerCancel,
@@ -17,7 +18,7 @@
 from foxtailway.sidecar.peer_stream import PeerStream, StreamOwner
 from foxtailway.sidecar.upstream_runner import UpstreamRunner
 from foxtailway.traffic.selection import LoadReport
-from foxtailway.transport.codec import MessageCodec
+from foxtailway.transport.message_plan import MessagePlans
 
 __all__ = ["PeerListener"]
 
@@ -31,15 +32,23 @@
     ----------
     runner : UpstreamRunner
         Runs requests at the upstream.
-    codec : MessageCodec
+    codec : MessagePlans
         Codec of the streams.
     address : str
         Address of this host, named when it says goodbye.
+    log : EventLog
+        Receiver of events.
     """
 
     def __init__(
-        self, *, runner: UpstreamRunner, codec: MessageCodec, address: str
+        self,
+        *,
+        runner: UpstreamRunner,
+        codec: MessagePlans,
+        address: str,
+        log: EventLog,
     ) -> None:
+        self.log = log
         self.runner = runner
         self.codec = codec
         self.address = address
@@ -50,7 +59,7 @@
     async def listen(self, *, port: int) -> None:
         """Start to accept streams."""
         self.server = await self.loop.create_server(
-            lambda: PeerStream(owner=self, codec=self.codec),
+            lambda: PeerStream(owner=self, codec=self.codec, log=self.log),
             self.address,
             port,
             backlog=BACKLOG,
--- a/foxtailway/sidecar/peer_pool.py
+++ b/foxtailway/sidecar/peer_pool.py
@@ -25,7 +25,7 @@
 )
 from foxtailway.sidecar.peer_stream import PeerStream, StreamOwner
 from foxtailway.traffic.selection import LoadReport
-from foxtailway.transport.codec import MessageCodec
+from foxtailway.transport.message_plan import MessagePlans
 
 __all__ = ["PeerPool"]
 
@@ -55,14 +55,14 @@
         IP address of the peer.
     port : int
         Port on which it takes streams.
-    codec : MessageCodec
+    codec : MessagePlans
         Codec of the streams.
     log : EventLog
         Receiver of events.
     """
 
     def __init__(
-        self, *, address: str, port: int, codec: MessageCodec, log: EventLog
+        self, *, address: str, port: int, codec: MessagePlans, log: EventLog
     ) -> None:
         self.address = address
         self.port = port
@@ -132,7 +132,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await self.loop.create_connection(
-                    lambda: PeerStream(owner=self, codec=self.codec),
+                    lambda: PeerStream(owner=self, codec=self.codec, log=self.log),
                     self.address,
                     self.port,
                 )
@@ -244,13 +244,13 @@
     ----------
     port : int
         Port on which every sidecar takes streams.
-    codec : MessageCodec
+    codec : MessagePlans
         Codec of the streams.
     log : EventLog
         Receiver of events.
     """
 
-    def __init__(self, *, port: int, codec: MessageCodec, log: EventLog) -> None:
+    def __init__(self, *, port: int, codec: MessagePlans, log: EventLog) -> None:
         self.port = port
         self.codec = codec
         self.log = log
--- a/foxtailway/sidecar/peer_stream.py
+++ b/foxtailway/sidecar/peer_stream.py
@@ -2,14 +2,14 @@
 
 import asyncio
 import socket
-import struct
 from abc import ABC, abstractmethod
 from typing import Any
 
 import msgpack
 
+from foxtailway.sidecar.log import EventLog
 from foxtailway.sidecar.peer_message import PEER_MESSAGE_TYPES
-from foxtailway.transport.codec import MessageCodec
+from foxtailway.transport.message_plan import FieldError, MessagePlans
 
 __all__ = ["PeerStream", "StreamOwner", "make_peer_codec"]
 
@@ -21,9 +21,9 @@
 USER_TIMEOUT_MS = 3_000
 
 
-def make_peer_codec() -> MessageCodec:
+def make_peer_codec() -> MessagePlans:
     """Return the codec of the streams between sidecars."""
-    return MessageCodec(message_types=PEER_MESSAGE_TYPES)
+    return MessagePlans(message_types=PEER_MESSAGE_TYPES)
 
 
 class StreamOwner(ABC):
@@ -49,8 +49,10 @@
     ----------
     owner : StreamOwner
         Handles messages and the end of the stream.
-    codec : MessageCodec
+    codec : MessagePlans
         Codec of both sides.
+    log : EventLog
+        Receiver of events.
 
     Attributes
     ----------
@@ -58,8 +60,11 @@
         Loop time at which bytes last arrived, in seconds.
     """
 
-    def __init__(self, *, owner: StreamOwner, codec: MessageCodec) -> None:
+    def __init__(
+        self, *, owner: StreamOwner, codec: MessagePlans, log: EventLog
+    ) -> None:
         self.owner = owner
+        self.log = log
         self.codec = codec
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
@@ -85,12 +90,9 @@
         try:
             self.unpacker.feed(data)
             for packed in self.unpacker:
-                decoded = self.codec.unpack(packed, peer=self.peer)
-                if decoded.is_error():
-                    self.close()
-                    return
-                self.owner.message_received(self, decoded.ok)
-        except (msgpack.UnpackException, ValueError, struct.error):
+                self.owner.message_received(self, self.codec.build(packed))
+        except (FieldError, msgpack.UnpackException, ValueError) as error:
+            self.log.write("peer_stream_malformed", peer=self.peer, error=error)
             self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- /dev/null
+++ b/foxtailway/sidecar/tests/support.py
@@ -0,0 +1,177 @@
+"""Stand-ins for the tests of the sidecar."""
+
+import asyncio
+import os
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+from foxtailway.sidecar.call import UpstreamCall
+from foxtailway.sidecar.http_message import ClientRequest, HeaderNames
+from foxtailway.sidecar.log import EventLog
+
+NAMES = HeaderNames(
+    request_id=b"x-request-id",
+    remaining_ms=b"x-remaining-ms",
+    seal=b"x-seal",
+    expected_upstream=b"x-expected",
+    not_run=b"x-not-run",
+    caller=b"x-caller",
+)
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter, str], Awaitable[None]]
+
+
+def make_log() -> EventLog:
+    """Return a log that nobody reads."""
+    return EventLog(host_id="host-1", descriptor=os.open(os.devnull, os.O_WRONLY))
+
+
+def make_reply(
+    request_id: str, *, status: str = "200 OK", body: str = "done", extra: str = ""
+) -> bytes:
+    """Return a whole reply of an upstream."""
+    seal = "X-Seal: s\r\n" if status.startswith("2") else ""
+    return (
+        f"HTTP/1.1 {status}\r\nX-Request-Id: {request_id}\r\n{seal}{extra}"
+        f"Content-Length: {len(body)}\r\n\r\n{body}"
+    ).encode()
+
+
+def make_client_request(**changes: object) -> ClientRequest:
+    """Return a request, with some fields changed."""
+    fields = {
+        "method": "GET",
+        "target": "/x",
+        "host": "a.example",
+        "request_id": "r-1",
+        "remaining_ms": 600,
+        "head": b"Host: a.example\r\nX-Request-Id: r-1\r\n",
+        "body": b"",
+    }
+    return ClientRequest(**(fields | changes))
+
+
+def make_call(now: float, **changes: object) -> UpstreamCall:
+    """Return a call, with some fields changed."""
+    fields = {
+        "upstream_id": "u-1",
+        "route": "lookup",
+        "is_idempotent": True,
+        "priority": 1,
+        "due_at": now + 2.0,
+        "deadline": now + 5.0,
+        "method": "GET",
+        "target": "/x",
+        "request_id": "r-1",
+        "head": b"Host: a.example\r\nX-Request-Id: r-1\r\n",
+        "body": b"",
+    }
+    return UpstreamCall(**(fields | changes))
+
+
+class ScriptedUpstream:
+    """Serve requests one after the other by a list of scripts.
+
+    Parameters
+    ----------
+    scripts : tuple of Script
+        What is done with each request, in order of arrival.
+
+    Attributes
+    ----------
+    requests : list of str
+        Heads of the requests received.
+    """
+
+    def __init__(self, *scripts: Script) -> None:
+        self.scripts = list(scripts)
+        self.requests: list[str] = []
+        self.n_connections = 0
+        self.server: asyncio.Server | None = None
+        self.port = 0
+
+    async def __aenter__(self) -> "ScriptedUpstream":
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        self.server.close()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Run the next script for each request of a connection."""
+        self.n_connections += 1
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                self.requests.append(head)
+                await self.scripts.pop(0)(reader, writer, find_id(head))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+def find_id(head: str) -> str:
+    """Return the identifier of a request."""
+    for line in head.split("\r\n"):
+        name, _, value = line.partition(": ")
+        if name.lower() == "x-request-id":
+            return value
+    return ""
+
+
+def replying(**fields: str) -> Script:
+    """Return a script that sends a whole reply."""
+
+    async def script(
+        _reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: str
+    ) -> None:
+        writer.write(make_reply(request_id, **fields))
+
+    return script
+
+
+def sending(data: bytes, *, then_close: bool = False) -> Script:
+    """Return a script that sends raw bytes."""
+
+    async def script(
+        _reader: asyncio.StreamReader, writer: asyncio.StreamWriter, _id: str
+    ) -> None:
+        writer.write(data)
+        await writer.drain()
+        if then_close:
+            writer.close()
+
+    return script
+
+
+def resetting(data: bytes = b"") -> Script:
+    """Return a script that sends bytes and resets the connection."""
+
+    async def script(
+        _reader: asyncio.StreamReader, writer: asyncio.StreamWriter, _id: str
+    ) -> None:
+        writer.write(data)
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        connected = writer.get_extra_info("socket")
+        connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        writer.transport.abort()
+
+    return script
+
+
+def holding(released: asyncio.Event, **fields: str) -> Script:
+    """Return a script that replies once an event is set."""
+
+    async def script(
+        _reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: str
+    ) -> None:
+        await released.wait()
+        writer.write(make_reply(request_id, **fields))
+
+    return script
--- /dev/null
+++ b/foxtailway/sidecar/tests/test_dispatcher.py
@@ -0,0 +1,146 @@
+import asyncio
+from random import Random
+from unittest import IsolatedAsyncioTestCase
+
+from foxtailway.routing.outcome import Outcome, RefusalReason
+from foxtailway.sidecar.call import (
+    CallRefusal,
+    CallResult,
+    UpstreamAnswer,
+    UpstreamCall,
+)
+from foxtailway.sidecar.dispatcher import RequestDispatcher
+from foxtailway.sidecar.http_message import Answer
+from foxtailway.sidecar.tests.support import NAMES, make_client_request, make_log
+from foxtailway.traffic.configuration import ClientLimits, TrafficConfiguration
+from foxtailway.traffic.membership import Membership
+from foxtailway.traffic.selection import UpstreamSelector
+from foxtailway.traffic.tests.builders import make_route, make_upstream
+
+DONE = UpstreamAnswer(answer=Answer(status=200), run_time_s=0.01, load=None)
+FAILED = UpstreamAnswer(answer=Answer(status=500), run_time_s=0.01, load=None)
+BUSY = CallRefusal(outcome=Outcome.NOT_RUN, reason=RefusalReason.OVERLOADED)
+SHED = CallRefusal(
+    outcome=Outcome.NOT_RUN, reason=RefusalReason.OVERLOADED, is_offered=True
+)
+LOST = CallRefusal(outcome=Outcome.UNKNOWN, reason=RefusalReason.LOST, is_offered=True)
+
+
+class ScriptedPeers:
+    """Return prepared results in order and keep the calls."""
+
+    def __init__(self) -> None:
+        self.results: list[CallResult] = []
+        self.calls: list[UpstreamCall] = []
+
+    async def call(self, address: str, call: UpstreamCall) -> CallResult:
+        self.calls.append(call)
+        return self.results.pop(0)
+
+
+class RequestDispatcherTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.peers = ScriptedPeers()
+        self.membership = Membership()
+        for number in range(3):
+            self.membership.put(
+                make_upstream(f"u-{number}", address=f"10.0.0.{number}")
+            )
+        self.dispatcher = RequestDispatcher(
+            names=NAMES,
+            service="desk",
+            address="10.0.0.99",
+            membership=self.membership,
+            selector=UpstreamSelector(
+                zone="zone-a", zone_regions={"zone-a": "east"}, random_source=Random(1)
+            ),
+            peers=self.peers,
+            runner=None,
+            retry_ratio=0.2,
+            retry_slack=56.0,
+            retry_window_s=10.0,
+            log=make_log(),
+            random_source=Random(1),
+        )
+
+    def configure(self, **changes: object) -> None:
+        self.dispatcher.apply(
+            TrafficConfiguration(
+                version=1, routes=(make_route(**changes),), limits=ClientLimits()
+            )
+        )
+
+    async def handle(self, *results: CallResult, **changes: object) -> Answer:
+        self.peers.results = list(results)
+        return await self.dispatcher.handle(make_client_request(**changes))
+
+    async def test_without_configuration_nothing_is_denied(self) -> None:
+        answer = await self.handle()
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b"Retry-After", answer.head)
+
+    async def test_unknown_route_is_not_found(self) -> None:
+        self.configure()
+        self.assertEqual((await self.handle(host="b.example")).status, 404)
+
+    async def test_caller_is_set_by_the_node(self) -> None:
+        self.configure()
+        await self.handle(DONE)
+        self.assertIn(b"x-caller: desk\r\n", self.peers.calls[0].head)
+
+    async def test_time_left_is_the_least_of_client_and_route(self) -> None:
+        self.configure(timeout_s=0.3)
+        await self.handle(DONE, remaining_ms=10_000)
+        left_s = self.peers.calls[0].deadline - asyncio.get_running_loop().time()
+        self.assertLessEqual(left_s, 0.3)
+
+    async def test_busy_upstreams_are_passed_over(self) -> None:
+        self.configure(is_idempotent=False, max_attempts=1)
+        answer = await self.handle(BUSY, BUSY, DONE)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(len({call.upstream_id for call in self.peers.calls}), 3)
+
+    async def test_refusal_everywhere_is_told_with_a_time_to_return(self) -> None:
+        self.configure()
+        answer = await self.handle(BUSY, BUSY, BUSY)
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b"Retry-After", answer.head)
+
+    async def test_request_that_may_have_run_is_not_sent_again(self) -> None:
+        self.configure(is_idempotent=False)
+        answer = await self.handle(LOST)
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(len(self.peers.calls), 1)
+
+    async def test_idempotent_request_is_sent_again(self) -> None:
+        self.configure()
+        self.assertEqual((await self.handle(LOST, DONE)).status, 200)
+
+    async def test_failure_of_an_upstream_is_repeated_only_if_idempotent(self) -> None:
+        self.configure()
+        self.assertEqual((await self.handle(FAILED, DONE)).status, 200)
+        self.configure(is_idempotent=False)
+        self.assertEqual((await self.handle(FAILED)).status, 500)
+
+    async def test_attempts_at_upstreams_are_bounded_by_the_route(self) -> None:
+        self.configure(max_attempts=2)
+        answer = await self.handle(LOST, LOST)
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(len(self.peers.calls), 2)
+
+    async def test_shed_requests_draw_on_the_retry_budget(self) -> None:
+        self.configure(max_attempts=2)
+        budget = self.dispatcher.find_budget("records")
+        while budget.try_repeat(3, asyncio.get_running_loop().time()):
+            continue
+        answer = await self.handle(SHED)
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(len(self.peers.calls), 1)
+
+    async def test_part_of_a_split_is_not_moved_to_another_service(self) -> None:
+        self.configure()
+        for number in range(3):
+            self.membership.remove(f"u-{number}", 1e9)
+        self.membership.put(make_upstream("other", service="dispatch"))
+        self.assertEqual((await self.handle()).status, 503)
+        self.assertEqual(self.peers.calls, [])
--- /dev/null
+++ b/foxtailway/sidecar/tests/test_http_listener.py
@@ -0,0 +1,130 @@
+import asyncio
+from unittest import IsolatedAsyncioTestCase
+
+from foxtailway.sidecar.http_listener import HttpListener, RequestHandler
+from foxtailway.sidecar.http_message import Answer, ClientRequest
+from foxtailway.sidecar.tests.support import NAMES
+from foxtailway.traffic.configuration import ClientLimits
+
+REQUEST = (
+    b"POST /x?y=1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r-1\r\n"
+    b"X-Remaining-Ms: 250\r\nX-Caller: forged\r\nConnection: X-Hop\r\n"
+    b"X-Hop: 1\r\nContent-Length: 4\r\n\r\nbody"
+)
+
+
+class RecordingHandler(RequestHandler):
+    def __init__(self) -> None:
+        self.requests: list[ClientRequest] = []
+        self.released = asyncio.Event()
+        self.released.set()
+        self.n_cancelled = 0
+
+    async def handle(self, request: ClientRequest) -> Answer:
+        self.requests.append(request)
+        try:
+            await self.released.wait()
+        except asyncio.CancelledError:
+            self.n_cancelled += 1
+            raise
+        return Answer(status=200, body=request.target.encode())
+
+
+class HttpListenerTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.handler = RecordingHandler()
+        self.listener = HttpListener(handler=self.handler, names=NAMES)
+        await self.listener.listen(address="127.0.0.1", port=0)
+        self.addCleanup(self.listener.close)
+        port = self.listener.server.sockets[0].getsockname()[1]
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
+        self.addCleanup(self.writer.close)
+
+    async def read_answer(self) -> tuple[bytes, bytes]:
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+        return head, await self.reader.readexactly(length)
+
+    async def test_request_is_passed_on_without_what_concerns_one_hop(self) -> None:
+        self.writer.write(REQUEST)
+        _, body = await self.read_answer()
+        self.assertEqual(body, b"/x?y=1")
+        request = self.handler.requests[0]
+        self.assertEqual(request.method, "POST")
+        self.assertEqual(request.body, b"body")
+        self.assertEqual(request.remaining_ms, 250)
+        self.assertEqual(request.request_id, "r-1")
+        self.assertEqual(request.head, b"Host: a.example\r\nX-Request-Id: r-1\r\n")
+
+    async def test_chunked_body_is_joined(self) -> None:
+        self.writer.write(
+            b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n"
+        )
+        await self.read_answer()
+        self.assertEqual(self.handler.requests[0].body, b"body")
+
+    async def test_requests_sent_ahead_are_answered_in_order(self) -> None:
+        for number in range(20):
+            self.writer.write(b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n" % number)
+        for number in range(20):
+            _, body = await self.read_answer()
+            self.assertEqual(body, b"/%d" % number)
+
+    async def test_client_that_leaves_cancels_its_request(self) -> None:
+        self.handler.released.clear()
+        self.writer.write(REQUEST)
+        while not self.handler.requests:
+            await asyncio.sleep(0)
+        self.writer.close()
+        while not self.handler.n_cancelled:
+            await asyncio.sleep(0)
+
+    async def test_length_given_twice_is_rejected(self) -> None:
+        self.writer.write(
+            b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+        )
+        head, _ = await self.read_answer()
+        self.assertIn(b" 400 ", head)
+        self.assertEqual(self.handler.requests, [])
+
+    async def test_large_headers_are_rejected(self) -> None:
+        self.listener.limits = ClientLimits(max_header_size=100)
+        self.writer.write(b"GET /x HTTP/1.1\r\nA: " + b"b" * 200)
+        head, _ = await self.read_answer()
+        self.assertIn(b" 431 ", head)
+
+    async def test_large_body_is_rejected(self) -> None:
+        self.listener.limits = ClientLimits(max_body_size=3)
+        self.writer.write(REQUEST)
+        head, _ = await self.read_answer()
+        self.assertIn(b" 413 ", head)
+        self.assertEqual(self.handler.requests, [])
+
+    async def test_headers_that_do_not_end_are_rejected(self) -> None:
+        self.listener.limits = ClientLimits(header_timeout_s=0.0)
+        self.writer.write(b"GET /x HTTP/1.1\r\nA: b")
+        head, _ = await self.read_answer()
+        self.assertIn(b" 408 ", head)
+
+    async def test_idle_connection_is_closed(self) -> None:
+        while not self.listener.connections:
+            await asyncio.sleep(0)
+        connection = next(iter(self.listener.connections))
+        idle_s = self.listener.limits.idle_timeout_s
+        connection.sweep(connection.changed_at + idle_s)
+        self.assertFalse(connection.transport.is_closing())
+        connection.sweep(connection.changed_at + idle_s + 2.0)
+        self.assertTrue(connection.transport.is_closing())
+
+    async def test_stop_lets_the_running_request_finish(self) -> None:
+        self.handler.released.clear()
+        self.writer.write(REQUEST)
+        while not self.handler.requests:
+            await asyncio.sleep(0)
+        self.listener.close_idle()
+        self.handler.released.set()
+        head, body = await self.read_answer()
+        self.assertEqual(body, b"/x?y=1")
+        self.assertIn(b"Connection: close", head)
--- /dev/null
+++ b/foxtailway/sidecar/tests/test_upstream_runner.py
@@ -0,0 +1,178 @@
+import asyncio
+from contextlib import suppress
+from unittest import IsolatedAsyncioTestCase
+
+from foxtailway.routing.outcome import Outcome, RefusalReason
+from foxtailway.sidecar.call import CallRefusal, CallResult, UpstreamAnswer
+from foxtailway.sidecar.tests.support import (
+    NAMES,
+    ScriptedUpstream,
+    holding,
+    make_call,
+    make_log,
+    replying,
+    resetting,
+    sending,
+)
+from foxtailway.sidecar.upstream_pool import UpstreamPool
+from foxtailway.sidecar.upstream_runner import UpstreamRunner
+from foxtailway.traffic.membership import Membership, UpstreamState
+from foxtailway.traffic.tests.builders import make_upstream
+
+
+class UpstreamRunnerTest(IsolatedAsyncioTestCase):
+    def make_runner(self, upstream: ScriptedUpstream) -> UpstreamRunner:
+        self.membership = Membership()
+        self.membership.put(make_upstream("u-1", n_slots=1))
+        runner = UpstreamRunner(
+            names=NAMES,
+            pool=UpstreamPool(
+                address="127.0.0.1", port=upstream.port, id_header=NAMES.request_id
+            ),
+            membership=self.membership,
+            log=make_log(),
+        )
+        self.addCleanup(runner.close)
+        return runner
+
+    async def run_call(self, runner: UpstreamRunner, **changes: object) -> CallResult:
+        return await runner.run(make_call(runner.loop.time(), **changes))
+
+    def assert_refused(
+        self, result: CallResult, outcome: Outcome, reason: RefusalReason
+    ) -> None:
+        self.assertIsInstance(result, CallRefusal)
+        self.assertEqual((result.outcome, result.reason), (outcome, reason))
+
+    async def test_answer_comes_unchanged_with_the_load(self) -> None:
+        async with ScriptedUpstream(replying()) as upstream:
+            runner = self.make_runner(upstream)
+            result = await self.run_call(runner)
+        self.assertIsInstance(result, UpstreamAnswer)
+        self.assertEqual(result.answer.body, b"done")
+        self.assertIn(b"X-Seal: s\r\n", result.answer.head)
+        self.assertNotIn(b"Content-Length", result.answer.head)
+        self.assertIsNotNone(result.load)
+
+    async def test_upstream_is_told_its_identifier_and_the_time_left(self) -> None:
+        async with ScriptedUpstream(replying()) as upstream:
+            runner = self.make_runner(upstream)
+            await self.run_call(runner)
+            self.assertIn("x-expected: u-1\r\n", upstream.requests[0])
+            self.assertRegex(upstream.requests[0], r"x-remaining-ms: [0-9]+\r\n")
+
+    async def test_shed_request_did_not_run(self) -> None:
+        script = replying(status="503 Full", extra="X-Not-Run: 1\r\n")
+        async with ScriptedUpstream(script) as upstream:
+            result = await self.run_call(self.make_runner(upstream))
+        self.assert_refused(result, Outcome.NOT_RUN, RefusalReason.OVERLOADED)
+        self.assertTrue(result.is_offered)
+
+    async def test_reset_request_may_have_run(self) -> None:
+        async with ScriptedUpstream(resetting()) as upstream:
+            result = await self.run_call(self.make_runner(upstream))
+        self.assert_refused(result, Outcome.UNKNOWN, RefusalReason.LOST)
+
+    async def test_unavailable_without_mark_is_an_answer_of_the_upstream(self) -> None:
+        async with ScriptedUpstream(replying(status="503 Busy")) as upstream:
+            result = await self.run_call(self.make_runner(upstream))
+        self.assertIsInstance(result, UpstreamAnswer)
+
+    async def test_success_without_seal_is_no_success(self) -> None:
+        reply = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+        async with ScriptedUpstream(sending(reply)) as upstream:
+            result = await self.run_call(self.make_runner(upstream))
+        self.assert_refused(result, Outcome.UNKNOWN, RefusalReason.LOST)
+
+    async def test_unreachable_upstream_did_not_run(self) -> None:
+        async with ScriptedUpstream() as upstream:
+            runner = self.make_runner(upstream)
+        result = await self.run_call(runner)
+        self.assert_refused(result, Outcome.NOT_RUN, RefusalReason.NOT_READY)
+        self.assertEqual(runner.n_busy, 0)
+
+    async def test_leaving_upstream_gets_no_request(self) -> None:
+        async with ScriptedUpstream() as upstream:
+            runner = self.make_runner(upstream)
+            leaving = make_upstream("u-1", state=UpstreamState.DRAINING, sequence=2)
+            self.membership.put(leaving)
+            result = await self.run_call(runner)
+            self.assertEqual(upstream.requests, [])
+        self.assert_refused(result, Outcome.NOT_RUN, RefusalReason.DRAINING)
+
+    async def test_request_that_waited_meets_the_leaving_of_its_upstream(self) -> None:
+        released = asyncio.Event()
+        async with ScriptedUpstream(holding(released)) as upstream:
+            runner = self.make_runner(upstream)
+            first = asyncio.create_task(self.run_call(runner))
+            while not upstream.requests:
+                await asyncio.sleep(0)
+            second = asyncio.create_task(self.run_call(runner, request_id="r-2"))
+            while runner.n_busy < 2:
+                await asyncio.sleep(0)
+            self.membership.remove("u-1", 1e9)
+            released.set()
+            self.assertIsInstance(await first, UpstreamAnswer)
+            refusal = await second
+            self.assertEqual(len(upstream.requests), 1)
+        self.assert_refused(refusal, Outcome.NOT_RUN, RefusalReason.DRAINING)
+
+    async def test_expired_request_is_not_sent(self) -> None:
+        async with ScriptedUpstream() as upstream:
+            runner = self.make_runner(upstream)
+            result = await self.run_call(runner, deadline=runner.loop.time() - 1)
+            self.assertEqual(upstream.requests, [])
+        self.assert_refused(result, Outcome.NOT_RUN, RefusalReason.EXPIRED)
+
+    async def test_silent_upstream_frees_its_slot_after_the_deadline(self) -> None:
+        async with ScriptedUpstream(holding(asyncio.Event())) as upstream:
+            runner = self.make_runner(upstream)
+            result = await self.run_call(runner, deadline=runner.loop.time() + 0.02)
+            await asyncio.sleep(0)
+            self.assertEqual(runner.n_busy, 0)
+        self.assert_refused(result, Outcome.UNKNOWN, RefusalReason.EXPIRED)
+
+    async def test_caller_that_leaves_ends_an_idempotent_request(self) -> None:
+        async with ScriptedUpstream(holding(asyncio.Event())) as upstream:
+            runner = self.make_runner(upstream)
+            await self.leave_while_running(runner, upstream, is_idempotent=True)
+            await asyncio.sleep(0)
+            self.assertEqual(runner.n_busy, 0)
+
+    async def test_request_that_may_not_repeat_runs_to_its_end(self) -> None:
+        released = asyncio.Event()
+        async with ScriptedUpstream(holding(released)) as upstream:
+            runner = self.make_runner(upstream)
+            await self.leave_while_running(runner, upstream, is_idempotent=False)
+            self.assertEqual(runner.n_busy, 1)
+            released.set()
+            while runner.n_busy:
+                await asyncio.sleep(0)
+            self.assertEqual(len(runner.pool.idle), 1)
+
+    async def leave_while_running(
+        self, runner: UpstreamRunner, upstream: ScriptedUpstream, **changes: object
+    ) -> None:
+        task = asyncio.create_task(self.run_call(runner, **changes))
+        while not upstream.requests:
+            await asyncio.sleep(0)
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+
+    async def test_connection_is_used_again(self) -> None:
+        async with ScriptedUpstream(replying(), replying()) as upstream:
+            runner = self.make_runner(upstream)
+            await self.run_call(runner)
+            await self.run_call(runner, is_idempotent=False)
+            self.assertEqual(upstream.n_connections, 1)
+
+    async def test_idle_connection_is_not_trusted_with_what_may_not_repeat(
+        self,
+    ) -> None:
+        async with ScriptedUpstream(replying(), replying()) as upstream:
+            runner = self.make_runner(upstream)
+            await self.run_call(runner)
+            runner.pool.idle[0].idle_since -= 1.5
+            await self.run_call(runner, is_idempotent=False)
+            self.assertEqual(upstream.n_connections, 2)
--- a/foxtailway/traffic/slot_queue.py
+++ b/foxtailway/traffic/slot_queue.py
@@ -95,7 +95,7 @@
     def list_ahead(self, request: QueuedRequest, now: float) -> list[QueuedRequest]:
         """Return the waiting requests that are served before a request."""
         rank = self.rank(request, now)
-        return [other for other in self.waiting if self.rank(other, now) < rank]
+        return [other for other in self.waiting if self.rank(other, now) <= rank]
 
     def is_servable(self, request: QueuedRequest, n_ahead: int, now: float) -> bool:
         """Whether the request can finish before its deadline."""
--- /dev/null
+++ b/foxtailway/traffic/tests/builders.py
@@ -0,0 +1,37 @@
+"""Short ways to build routes and upstreams for tests."""
+
+from foxtailway.traffic.configuration import TrafficRoute, WeightedService
+from foxtailway.traffic.membership import Upstream, UpstreamState
+
+
+def make_route(**changes: object) -> TrafficRoute:
+    """Return a route, with some fields changed."""
+    fields = {
+        "name": "lookup",
+        "host": "a.example",
+        "prefix": "/",
+        "destinations": (WeightedService(service="records", weight=1.0),),
+        "is_idempotent": True,
+        "priority": 1,
+        "timeout_s": 0.6,
+        "target_latency_s": 0.25,
+        "max_attempts": 2,
+    }
+    return TrafficRoute(**(fields | changes))
+
+
+def make_upstream(upstream_id: str = "u-1", **changes: object) -> Upstream:
+    """Return an upstream, with some fields changed."""
+    fields = {
+        "upstream_id": upstream_id,
+        "service": "records",
+        "address": "127.0.0.1",
+        "port": 8080,
+        "zone": "zone-a",
+        "n_slots": 4,
+        "state": UpstreamState.READY,
+        "cold_s": 0.0,
+        "born_ms": 1_000,
+        "sequence": 1,
+    }
+    return Upstream(**(fields | changes))
--- /dev/null
+++ b/foxtailway/traffic/tests/test_membership.py
@@ -0,0 +1,57 @@
+from unittest import TestCase
+
+from foxtailway.traffic.membership import (
+    REGISTRATION_GRACE_S,
+    Membership,
+    UpstreamState,
+)
+from foxtailway.traffic.tests.builders import make_upstream
+
+
+class MembershipTest(TestCase):
+    def setUp(self) -> None:
+        self.membership = Membership()
+        self.membership.put(make_upstream())
+
+    def is_ready(self) -> bool:
+        return bool(self.membership.list_ready("records"))
+
+    def test_removal_takes_effect_at_once_while_the_registry_works(self) -> None:
+        self.membership.remove("u-1", 100.0)
+        self.assertFalse(self.is_ready())
+        self.assertTrue(self.membership.is_leaving("u-1"))
+
+    def test_draining_upstream_takes_no_new_work(self) -> None:
+        self.membership.put(make_upstream(state=UpstreamState.DRAINING, sequence=2))
+        self.assertFalse(self.is_ready())
+        self.assertTrue(self.membership.is_leaving("u-1"))
+
+    def test_entry_that_lapsed_during_an_outage_is_kept_for_the_grace(self) -> None:
+        self.membership.registry_failed(99.0)
+        self.membership.remove("u-1", 100.0)
+        self.membership.expire(100.0 + REGISTRATION_GRACE_S - 0.1)
+        self.assertTrue(self.is_ready())
+        self.membership.expire(100.0 + REGISTRATION_GRACE_S)
+        self.assertFalse(self.is_ready())
+
+    def test_entry_that_comes_back_in_the_grace_stays(self) -> None:
+        self.membership.registry_failed(99.0)
+        self.membership.replace_all((), 100.0)
+        self.membership.put(make_upstream(sequence=5))
+        self.membership.expire(200.0)
+        self.assertTrue(self.is_ready())
+
+    def test_late_report_of_an_earlier_state_is_ignored(self) -> None:
+        self.membership.put(make_upstream(state=UpstreamState.DRAINING, sequence=7))
+        self.membership.put(make_upstream(sequence=6))
+        self.assertFalse(self.is_ready())
+
+    def test_new_incarnation_counts_anew(self) -> None:
+        self.membership.put(make_upstream(state=UpstreamState.DRAINING, sequence=7))
+        self.membership.put(make_upstream(born_ms=2_000, sequence=1))
+        self.assertTrue(self.is_ready())
+
+    def test_identifier_that_departed_may_return(self) -> None:
+        self.membership.remove("u-1", 100.0)
+        self.membership.put(make_upstream(born_ms=2_000))
+        self.assertFalse(self.membership.is_leaving("u-1"))
