List the store anew after an outage and take only the last version

Ruled out: back-off (the first answer came 0.6 s after the store's return).

Change: after an outage of more than a second all keys are listed; of several versions in one answer only the last usable one is compiled; no pause behind an answer that is likely to have more behind it.

--- a/foxtailway/platform/feed.py
+++ b/foxtailway/platform/feed.py
@@ -1,6 +1,7 @@
 """Following of the platform's store."""
 
 import asyncio
+from collections.abc import Sequence
 from random import Random
 
 from foxtailway.platform.document import (
@@ -16,12 +17,18 @@
     StoreItem,
 )
 from foxtailway.sidecar.node import SidecarNode
+from foxtailway.traffic.membership import Upstream
 
 __all__ = ["StoreFeed"]
 
 WATCH_WAIT_S = 20.0
 # Pause after an answer, so that a series of changes costs few calls.
 COALESCE_S = 0.5
+# Changes in one answer from which on more are likely to wait behind them.
+N_CHANGES_OF_BACKLOG = 10
+# Outage after which the keys are listed anew: the changes since then may hold
+# many versions of the configuration, of which only the last is of use.
+MAX_CATCH_UP_S = 1.0
 FIRST_BACKOFF_S = 0.15
 MAX_BACKOFF_S = 1.0
 ALL_KEYS = ""
@@ -49,7 +56,7 @@
         self.loop = asyncio.get_running_loop()
         self.revision: int | None = None
         self.backoff_s = FIRST_BACKOFF_S
-        self.is_lost = False
+        self.lost_at: float | None = None
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -67,18 +74,21 @@
 
     async def back_off(self, error: StoreError) -> None:
         """Note that the store failed and wait before the next call."""
-        self.node.membership.registry_failed(self.loop.time())
-        if not self.is_lost:
-            self.is_lost = True
+        now = self.loop.time()
+        self.node.membership.registry_failed(now)
+        if self.lost_at is None:
+            self.lost_at = now
             self.node.log.write("store_lost", error=error, revision=self.revision)
         await asyncio.sleep(self.backoff_s * (0.5 + self.random_source.random()))
         self.backoff_s = min(MAX_BACKOFF_S, self.backoff_s * 2)
+        if self.loop.time() - self.lost_at > MAX_CATCH_UP_S:
+            self.revision = None
 
     def answered(self) -> None:
         """Note that the store works."""
         self.backoff_s = FIRST_BACKOFF_S
-        if self.is_lost:
-            self.is_lost = False
+        if self.lost_at is not None:
+            self.lost_at = None
             self.node.membership.registry_failed(self.loop.time())
             self.node.log.write("store_regained", revision=self.revision)
 
@@ -108,9 +118,7 @@
             and (upstream := self.decode_upstream(item)) is not None
         ]
         self.node.membership.replace_all(tuple(upstreams), self.loop.time())
-        for item in items:
-            if item.key == CONFIG_KEY:
-                self.take_configuration(item)
+        self.take_configurations(items)
         self.node.membership_changed()
 
     async def watch_once(self) -> None:
@@ -119,18 +127,14 @@
         self.answered()
         self.revision = max(self.revision, page.revision)
         for item in page.items:
-            self.take(item)
+            if item.key.startswith(UPSTREAM_PREFIX):
+                self.take_upstream(item)
+        self.take_configurations(page.items)
         if page.items:
             self.node.membership_changed()
+        if 0 < len(page.items) < N_CHANGES_OF_BACKLOG:
             await asyncio.sleep(COALESCE_S)
 
-    def take(self, item: StoreItem) -> None:
-        """Take over one change."""
-        if item.key == CONFIG_KEY:
-            self.take_configuration(item)
-        elif item.key.startswith(UPSTREAM_PREFIX):
-            self.take_upstream(item)
-
     def take_upstream(self, item: StoreItem) -> None:
         """Take over the change of an upstream's entry."""
         upstream_id = item.key.removeprefix(UPSTREAM_PREFIX)
@@ -151,7 +155,7 @@
                 revision=item.revision,
             )
 
-    def decode_upstream(self, item: StoreItem) -> object | None:
+    def decode_upstream(self, item: StoreItem) -> Upstream | None:
         """Return the upstream of an entry, or None for a foreign entry."""
         upstream_id = item.key.removeprefix(UPSTREAM_PREFIX)
         try:
@@ -160,15 +164,17 @@
             self.node.log.write("entry_ignored", error=error, revision=item.revision)
             return None
 
-    def take_configuration(self, item: StoreItem) -> None:
-        """Put a newer configuration in force."""
-        if item.content is None:
-            return
-        try:
-            configuration = decode_configuration(item.key, item.content)
-        except DocumentError as error:
-            self.node.log.write(
-                "configuration_rejected", error=error, revision=item.revision
-            )
+    def take_configurations(self, items: Sequence[StoreItem]) -> None:
+        """Put the last usable configuration among the items in force."""
+        for item in reversed(items):
+            if item.key != CONFIG_KEY or item.content is None:
+                continue
+            try:
+                configuration = decode_configuration(item.key, item.content)
+            except DocumentError as error:
+                self.node.log.write(
+                    "configuration_rejected", error=error, revision=item.revision
+                )
+                continue
+            self.node.apply(configuration)
             return
-        self.node.apply(configuration)
--- a/foxtailway/platform/main.py
+++ b/foxtailway/platform/main.py
@@ -18,6 +18,8 @@
 __all__ = ["main"]
 
 SETTINGS_VARIABLE = "FOXTAILWAY_SETTINGS"
+# Time left of the grace period for closing, in seconds.
+STOP_MARGIN_S = 0.8
 EXIT_SETTINGS = 2
 EXIT_LISTEN = 3
 
@@ -48,7 +50,7 @@
     log.write("started", zone=settings.zone, service=settings.service)
     await stopped.wait()
     log.write("stopping")
-    await node.stop(StopTimes(end_s=settings.grace_s - 0.4))
+    await node.stop(StopTimes(end_s=settings.grace_s - STOP_MARGIN_S))
     following.cancel()
     with suppress(asyncio.CancelledError):
         await following
--- /dev/null
+++ b/foxtailway/platform/tests/store_stand_in.py
@@ -0,0 +1,118 @@
+"""Small stand-in of the platform's store."""
+
+import asyncio
+import json
+from base64 import b64encode
+from urllib.parse import parse_qs, urlsplit
+
+from foxtailway.platform.names import HEADER_NAMES
+from foxtailway.platform.settings import Endpoint
+from foxtailway.sidecar.http_listener import HttpListener, RequestHandler
+from foxtailway.sidecar.http_message import Answer, ClientRequest
+
+PAGE_SIZE = 3
+
+
+class StoreStandIn(RequestHandler):
+    """Answer range and watch calls from memory.
+
+    Attributes
+    ----------
+    status : int
+        Status of all answers; 200 while the store works.
+    is_hanging : bool
+        Whether calls are never answered.
+    calls : list of str
+        Names of the calls received.
+    """
+
+    def __init__(self) -> None:
+        self.items: dict[str, dict] = {}
+        self.events: list[dict] = []
+        self.revision = 10
+        self.first_revision = 10
+        self.status = 200
+        self.is_hanging = False
+        self.calls: list[str] = []
+        self.changed = asyncio.Event()
+        self.listener = HttpListener(handler=self, names=HEADER_NAMES)
+
+    async def start(self) -> Endpoint:
+        """Listen on a free port and return it."""
+        await self.listener.listen(address="127.0.0.1", port=0)
+        port = self.listener.server.sockets[0].getsockname()[1]
+        return Endpoint(address="127.0.0.1", port=port)
+
+    def put(self, key: str, content: bytes) -> None:
+        """Write a key."""
+        self.revision += 1
+        value = b64encode(content).decode()
+        self.items[key] = {"key": key, "value": value, "revision": self.revision}
+        self.record(self.items[key])
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        self.revision += 1
+        self.items.pop(key, None)
+        self.record({"key": key, "revision": self.revision, "tombstone": True})
+
+    def record(self, event: dict) -> None:
+        """Keep an event and wake the watches."""
+        self.events.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self.events.clear()
+        self.first_revision = self.revision
+
+    def cut_watches(self) -> None:
+        """Close all connections."""
+        for connection in list(self.listener.connections):
+            connection.transport.abort()
+
+    async def handle(self, request: ClientRequest) -> Answer:
+        """Answer a call."""
+        parts = urlsplit(request.target)
+        query = {
+            name: values[0]
+            for name, values in parse_qs(parts.query, keep_blank_values=True).items()
+        }
+        self.calls.append(parts.path)
+        if self.is_hanging:
+            await asyncio.Event().wait()
+        if self.status != 200:
+            return Answer(status=self.status)
+        if parts.path == "/v1/kv-range":
+            return self.answer_range(query)
+        return await self.answer_watch(query)
+
+    def answer_range(self, query: dict[str, str]) -> Answer:
+        """Return one page of a prefix."""
+        after = query.get("after", "")
+        keys = [
+            key
+            for key in sorted(self.items)
+            if key.startswith(query["prefix"]) and key > after
+        ]
+        page = keys[:PAGE_SIZE]
+        return self.encode(
+            items=[self.items[key] for key in page], has_more=len(keys) > len(page)
+        )
+
+    async def answer_watch(self, query: dict[str, str]) -> Answer:
+        """Return the events behind a revision as soon as there are some."""
+        after = int(query["after"])
+        while True:
+            if after < self.first_revision:
+                return Answer(status=410)
+            events = [event for event in self.events if event["revision"] > after]
+            if events:
+                return self.encode(events=events)
+            await self.changed.wait()
+
+    def encode(self, **fields: object) -> Answer:
+        """Return an answer with the store's revision."""
+        body = json.dumps(fields | {"store_revision": self.revision}).encode()
+        return Answer(status=200, body=body)
--- /dev/null
+++ b/foxtailway/platform/tests/test_feed.py
@@ -0,0 +1,130 @@
+import asyncio
+from contextlib import suppress
+from random import Random
+from unittest import IsolatedAsyncioTestCase
+from unittest.mock import patch
+
+from foxtailway.platform import feed as feed_module
+from foxtailway.platform.feed import StoreFeed
+from foxtailway.platform.store import StoreClient
+from foxtailway.platform.tests.documents import make_configuration, make_entry
+from foxtailway.platform.tests.store_stand_in import StoreStandIn
+from foxtailway.sidecar.tests.support import make_log, wait_until
+from foxtailway.traffic.configuration import TrafficConfiguration
+from foxtailway.traffic.membership import Membership
+
+DRAINING = {"state": "draining", "sequence": 9, "cold_remaining": "0ms"}
+
+
+class RecordingNode:
+    def __init__(self) -> None:
+        self.membership = Membership()
+        self.log = make_log()
+        self.versions: list[int] = []
+        self.n_changes = 0
+
+    def apply(self, configuration: TrafficConfiguration) -> None:
+        self.versions.append(configuration.version)
+
+    def membership_changed(self) -> None:
+        self.n_changes += 1
+
+
+class StoreFeedTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        for name in ("COALESCE_S", "FIRST_BACKOFF_S", "MAX_BACKOFF_S"):
+            patcher = patch.object(feed_module, name, 0.0)
+            patcher.start()
+            self.addCleanup(patcher.stop)
+        self.store = StoreStandIn()
+        endpoint = await self.store.start()
+        self.addCleanup(self.store.listener.close)
+        self.store.put("op/config", make_configuration(3))
+        for number in range(5):
+            self.store.put(f"servers/u-{number}", make_entry())
+        self.node = RecordingNode()
+        self.client = StoreClient(endpoint=endpoint)
+        self.addCleanup(self.client.close)
+        self.feed = StoreFeed(
+            client=self.client, node=self.node, random_source=Random(1)
+        )
+        self.feed.backoff_s = 0.0
+
+    async def start(self) -> None:
+        task = asyncio.create_task(self.feed.run())
+        self.addAsyncCleanup(self.stop, task)
+        await wait_until(lambda: self.store.calls[-1:] == ["/v1/kv-watch"])
+
+    async def stop(self, task: asyncio.Task) -> None:
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+
+    @property
+    def n_ready(self) -> int:
+        return len(self.node.membership.list_ready("records"))
+
+    async def test_all_pages_are_read(self) -> None:
+        await self.start()
+        self.assertEqual(self.n_ready, 5)
+        self.assertEqual(self.node.versions, [3])
+
+    async def test_changes_are_followed(self) -> None:
+        await self.start()
+        self.store.put("servers/u-1", make_entry(status=DRAINING))
+        await wait_until(lambda: self.n_ready == 4)
+        self.store.remove("servers/u-2")
+        await wait_until(lambda: self.n_ready == 3)
+        self.store.put("op/config", make_configuration(7))
+        await wait_until(lambda: self.node.versions == [3, 7])
+
+    async def test_only_the_last_of_many_versions_is_taken(self) -> None:
+        await self.start()
+        for version in range(4, 20):
+            self.store.put("op/config", make_configuration(version))
+        await wait_until(lambda: self.node.versions[-1] == 19)
+        self.assertLess(len(self.node.versions), 5)
+
+    async def test_unusable_version_leaves_the_one_before(self) -> None:
+        await self.start()
+        self.store.put("op/config", make_configuration(4))
+        self.store.put("op/config", b"{")
+        await wait_until(lambda: self.node.versions == [3, 4])
+
+    async def test_foreign_entry_changes_nothing_else(self) -> None:
+        await self.start()
+        self.store.put("servers/foreign", b"\x00")
+        self.store.put("servers/u-7", make_entry())
+        await wait_until(lambda: self.n_ready == 6)
+        self.assertNotIn("foreign", self.node.membership.upstreams)
+
+    async def test_lost_history_leads_to_a_new_listing(self) -> None:
+        await self.start()
+        self.store.cut_watches()
+        self.store.remove("servers/u-1")
+        self.store.compact()
+        await wait_until(lambda: self.store.calls.count("/v1/kv-range") > 2)
+        await wait_until(lambda: "u-1" in self.node.membership.lapsed)
+
+    async def test_feed_survives_an_outage(self) -> None:
+        for status in (503, 429):
+            with self.subTest(status):
+                await self.start()
+                self.store.status = status
+                self.store.cut_watches()
+                n_calls = len(self.store.calls)
+                await wait_until(lambda n=n_calls: len(self.store.calls) > n + 3)
+                self.assertEqual(self.n_ready, 5)
+                self.store.status = 200
+                await wait_until(lambda: self.feed.lost_at is None)
+
+    async def test_long_outage_ends_with_a_listing(self) -> None:
+        await self.start()
+        self.store.status = 503
+        self.store.cut_watches()
+        await wait_until(lambda: self.feed.lost_at is not None)
+        self.feed.lost_at -= 2 * feed_module.MAX_CATCH_UP_S
+        await wait_until(lambda: self.feed.revision is None)
+        self.store.put("op/config", make_configuration(9))
+        self.store.status = 200
+        await wait_until(lambda: self.node.versions[-1] == 9)
--- /dev/null
+++ b/foxtailway/platform/tests/test_settings.py
@@ -0,0 +1,53 @@
+from tempfile import NamedTemporaryFile
+from unittest import TestCase
+
+from foxtailway.platform.quantity import parse_duration, parse_version
+from foxtailway.platform.settings import SettingsError, read_settings
+
+TEXT = """node_name=side-1
+zone=zone-a
+service=records
+zones.zone-a=east
+zones.zone-b=west
+listen_addrs.inbound=10.0.0.1:8300
+listen_addrs.outbound=10.0.0.1:8304
+listen_addrs.ready=10.0.0.1:8302
+app_addr=10.0.0.1:8301
+platform.address=10.9.0.1:8309
+bounds.grace=6s
+bounds.retry_budget_ratio=0.2
+bounds.retry_window=10s
+bounds.retry_budget_slack=56
+field.not.known=7
+"""
+
+
+class SettingsTest(TestCase):
+    def read(self, text: str) -> object:
+        with NamedTemporaryFile("w", suffix=".conf") as stream:
+            stream.write(text)
+            stream.flush()
+            return read_settings(stream.name)
+
+    def test_fields_are_read(self) -> None:
+        settings = self.read(TEXT)
+        self.assertEqual(settings.zone_regions, {"zone-a": "east", "zone-b": "west"})
+        self.assertEqual(settings.peer_listener.port, 8300)
+        self.assertEqual(settings.grace_s, 6.0)
+        self.assertEqual(settings.retry_slack, 56.0)
+
+    def test_missing_field_is_named(self) -> None:
+        with self.assertRaisesRegex(SettingsError, "zone"):
+            self.read(TEXT.replace("\nzone=zone-a", ""))
+
+    def test_missing_file_is_named(self) -> None:
+        with self.assertRaisesRegex(SettingsError, "absent"):
+            read_settings("/absent/settings.conf")
+
+    def test_quantities_out_of_form_are_rejected(self) -> None:
+        for text in ("5", "nans", "-1s", "", None, 7):
+            with self.subTest(text), self.assertRaises(ValueError):
+                parse_duration(text)
+        for text in ("12", "r", "r1.5", None):
+            with self.subTest(text), self.assertRaises(ValueError):
+                parse_version(text)
--- a/foxtailway/sidecar/tests/support.py
+++ b/foxtailway/sidecar/tests/support.py
@@ -24,6 +24,12 @@
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter, str], Awaitable[None]]
 
 
+async def wait_until(is_met: Callable[[], bool]) -> None:
+    """Let the loop run until a condition is met."""
+    while not is_met():  # noqa: ASYNC110 (conditions have no event)
+        await asyncio.sleep(0)
+
+
 def make_log() -> EventLog:
     """Return a log that nobody reads."""
     return EventLog(host_id="host-1", descriptor=os.open(os.devnull, os.O_WRONLY))
--- a/foxtailway/sidecar/tests/test_http_listener.py
+++ b/foxtailway/sidecar/tests/test_http_listener.py
@@ -3,7 +3,7 @@
 
 from foxtailway.sidecar.http_listener import HttpListener, RequestHandler
 from foxtailway.sidecar.http_message import Answer, ClientRequest
-from foxtailway.sidecar.tests.support import NAMES
+from foxtailway.sidecar.tests.support import NAMES, wait_until
 from foxtailway.traffic.configuration import ClientLimits
 
 REQUEST = (
@@ -74,11 +74,9 @@
     async def test_client_that_leaves_cancels_its_request(self) -> None:
         self.handler.released.clear()
         self.writer.write(REQUEST)
-        while not self.handler.requests:
-            await asyncio.sleep(0)
+        await wait_until(lambda: bool(self.handler.requests))
         self.writer.close()
-        while not self.handler.n_cancelled:
-            await asyncio.sleep(0)
+        await wait_until(lambda: bool(self.handler.n_cancelled))
 
     async def test_length_given_twice_is_rejected(self) -> None:
         self.writer.write(
@@ -109,8 +107,7 @@
         self.assertIn(b" 408 ", head)
 
     async def test_idle_connection_is_closed(self) -> None:
-        while not self.listener.connections:
-            await asyncio.sleep(0)
+        await wait_until(lambda: bool(self.listener.connections))
         connection = next(iter(self.listener.connections))
         idle_s = self.listener.limits.idle_timeout_s
         connection.sweep(connection.changed_at + idle_s)
@@ -121,8 +118,7 @@
     async def test_stop_lets_the_running_request_finish(self) -> None:
         self.handler.released.clear()
         self.writer.write(REQUEST)
-        while not self.handler.requests:
-            await asyncio.sleep(0)
+        await wait_until(lambda: bool(self.handler.requests))
         self.listener.close_idle()
         self.handler.released.set()
         head, body = await self.read_answer()
--- a/foxtailway/sidecar/tests/test_upstream_runner.py
+++ b/foxtailway/sidecar/tests/test_upstream_runner.py
@@ -13,6 +13,7 @@
     replying,
     resetting,
     sending,
+    wait_until,
 )
 from foxtailway.sidecar.upstream_pool import UpstreamPool
 from foxtailway.sidecar.upstream_runner import UpstreamRunner
@@ -105,11 +106,9 @@
         async with ScriptedUpstream(holding(released)) as upstream:
             runner = self.make_runner(upstream)
             first = asyncio.create_task(self.run_call(runner))
-            while not upstream.requests:
-                await asyncio.sleep(0)
+            await wait_until(lambda: bool(upstream.requests))
             second = asyncio.create_task(self.run_call(runner, request_id="r-2"))
-            while runner.n_busy < 2:
-                await asyncio.sleep(0)
+            await wait_until(lambda: runner.n_busy == 2)
             self.membership.remove("u-1", 1e9)
             released.set()
             self.assertIsInstance(await first, UpstreamAnswer)
@@ -146,16 +145,14 @@
             await self.leave_while_running(runner, upstream, is_idempotent=False)
             self.assertEqual(runner.n_busy, 1)
             released.set()
-            while runner.n_busy:
-                await asyncio.sleep(0)
+            await wait_until(lambda: not runner.n_busy)
             self.assertEqual(len(runner.pool.idle), 1)
 
     async def leave_while_running(
         self, runner: UpstreamRunner, upstream: ScriptedUpstream, **changes: object
     ) -> None:
         task = asyncio.create_task(self.run_call(runner, **changes))
-        while not upstream.requests:
-            await asyncio.sleep(0)
+        await wait_until(lambda: bool(upstream.requests))
         task.cancel()
         with suppress(asyncio.CancelledError):
             await task
