Reload settings, contain crashing requests, queue only what can be in time

Change: SidecarProcess reads its settings on SIGHUP and when the file changes; CrashGuard shares the crashes of fingerprints among sidecars; SlotQueue queues what can be in time, by rank and due time, and the time that a client spent on earlier attempts counts; calls to another region take a free slot or none. The store counts as regained after one short watch.

--- a/foxtailway/platform/feed.py
+++ b/foxtailway/platform/feed.py
@@ -22,8 +22,10 @@
 __all__ = ["StoreFeed"]
 
 WATCH_WAIT_S = 20.0
+# Wait of the first watch after a failure, which shows that the store works.
+REGAIN_WAIT_S = 0.3
 # Pause after an answer, so that a series of changes costs few calls.
-COALESCE_S = 0.5
+COALESCE_S = 0.7
 # Changes in one answer from which on more are likely to wait behind them.
 N_CHANGES_OF_BACKLOG = 10
 # Outage after which the keys are listed anew: the changes since then may hold
@@ -123,7 +125,8 @@
 
     async def watch_once(self) -> None:
         """Wait for changes and take them over."""
-        page = await self.client.watch(ALL_KEYS, self.revision, WATCH_WAIT_S)
+        wait_s = WATCH_WAIT_S if self.lost_at is None else REGAIN_WAIT_S
+        page = await self.client.watch(ALL_KEYS, self.revision, wait_s)
         self.answered()
         self.revision = max(self.revision, page.revision)
         for item in page.items:
--- a/foxtailway/platform/main.py
+++ b/foxtailway/platform/main.py
@@ -20,43 +20,108 @@
 SETTINGS_VARIABLE = "FOXTAILWAY_SETTINGS"
 # Time left of the grace period for closing, in seconds.
 STOP_MARGIN_S = 0.8
+# Interval at which the settings file is looked at, in seconds.
+SETTINGS_CHECK_S = 1.0
 EXIT_SETTINGS = 2
 EXIT_LISTEN = 3
 
 
-async def serve(settings: SidecarSettings, log: EventLog) -> int:
-    """Run a sidecar until SIGTERM and return the exit status."""
-    loop = asyncio.get_running_loop()
-    stopped = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stopped.set)
-    loop.add_signal_handler(signal.SIGINT, stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, log.write, "reload")
-    random_source = Random()
-    node = SidecarNode(
-        settings=settings,
-        names=HEADER_NAMES,
-        ready_path=READY_PATH,
-        log=log,
-        random_source=random_source,
-    )
-    client = StoreClient(endpoint=settings.store)
-    feed = StoreFeed(client=client, node=node, random_source=random_source)
+class SidecarProcess:
+    """Run one sidecar from its start to its stop.
+
+    Parameters
+    ----------
+    path : str
+        Settings file; read again on SIGHUP and whenever it changes.
+    settings : SidecarSettings
+        Settings read at the start.
+    log : EventLog
+        Receiver of events.
+    """
+
+    def __init__(self, *, path: str, settings: SidecarSettings, log: EventLog) -> None:
+        self.path = path
+        self.settings = settings
+        self.log = log
+        self.loop = asyncio.get_running_loop()
+        self.stopped = asyncio.Event()
+        self.changed_at = read_change_time(path)
+        random_source = Random()
+        self.node = SidecarNode(
+            settings=settings,
+            names=HEADER_NAMES,
+            ready_path=READY_PATH,
+            log=log,
+            random_source=random_source,
+        )
+        self.client = StoreClient(endpoint=settings.store)
+        self.feed = StoreFeed(
+            client=self.client, node=self.node, random_source=random_source
+        )
+
+    async def run(self) -> int:
+        """Serve until SIGTERM and return the exit status."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stopped.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        try:
+            await self.node.start()
+        except OSError as error:
+            self.log.write("listen_failed", error=error)
+            return EXIT_LISTEN
+        tasks = (
+            self.loop.create_task(self.feed.run()),
+            self.loop.create_task(self.watch_settings()),
+        )
+        settings = self.settings
+        self.log.write("started", zone=settings.zone, service=settings.service)
+        await self.stopped.wait()
+        self.log.write("stopping")
+        await self.node.stop(StopTimes(end_s=self.settings.grace_s - STOP_MARGIN_S))
+        for task in tasks:
+            task.cancel()
+            with suppress(asyncio.CancelledError):
+                await task
+        self.client.close()
+        self.log.write(
+            "stopped", n_store_calls=self.client.n_calls, n_dropped=self.log.n_dropped
+        )
+        return 0
+
+    async def watch_settings(self) -> None:
+        """Read the settings again when their file changes unannounced."""
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_S)
+            if read_change_time(self.path) != self.changed_at:
+                self.reload()
+
+    def reload(self) -> None:
+        """Take over changed settings; those of listeners need a restart."""
+        self.changed_at = read_change_time(self.path)
+        try:
+            settings = read_settings(self.path)
+        except SettingsError as error:
+            self.log.write("reload_failed", error=error)
+            return
+        is_changed = settings != self.settings
+        self.log.write("reload", is_changed=is_changed)
+        if is_changed:
+            self.settings = settings
+            self.client.endpoint = settings.store
+            self.node.reconfigure(settings)
+
+
+def read_change_time(path: str) -> int:
+    """Return when a file was last changed, in nanoseconds; 0 if it is absent."""
     try:
-        await node.start()
-    except OSError as error:
-        log.write("listen_failed", error=error)
-        return EXIT_LISTEN
-    following = loop.create_task(feed.run())
-    log.write("started", zone=settings.zone, service=settings.service)
-    await stopped.wait()
-    log.write("stopping")
-    await node.stop(StopTimes(end_s=settings.grace_s - STOP_MARGIN_S))
-    following.cancel()
-    with suppress(asyncio.CancelledError):
-        await following
-    client.close()
-    log.write("stopped", n_store_calls=client.n_calls, n_dropped=log.n_dropped)
-    return 0
+        return os.stat(path).st_mtime_ns
+    except FileNotFoundError:
+        return 0
+
+
+async def serve(path: str, settings: SidecarSettings, log: EventLog) -> int:
+    """Run a sidecar and return the exit status."""
+    return await SidecarProcess(path=path, settings=settings, log=log).run()
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -80,4 +145,4 @@
         return EXIT_SETTINGS
     log = EventLog(host_id=settings.host_id)
     log.open()
-    return asyncio.run(serve(settings, log))
+    return asyncio.run(serve(options.settings, settings, log))
--- a/foxtailway/platform/store.py
+++ b/foxtailway/platform/store.py
@@ -93,21 +93,20 @@
 
     def __init__(self, *, endpoint: Endpoint) -> None:
         self.endpoint = endpoint
-        self.peer = f"{endpoint.address}:{endpoint.port}"
         self.connection: HttpConnection | None = None
         self.n_calls = 0
 
+    @property
+    def peer(self) -> str:
+        """Address of the store, named in errors."""
+        return f"{self.endpoint.address}:{self.endpoint.port}"
+
     async def list_page(self, prefix: str, after: str) -> StorePage:
         """Return the items of a prefix behind the key `after`."""
         query = {"prefix": prefix}
         if after:
             query["after"] = after
-        answer = await self.call("kv-range", query, READ_TIMEOUT_S)
-        return StorePage(
-            items=tuple(read_item(item) for item in answer["items"]),
-            revision=answer["store_revision"],
-            has_more=answer["has_more"],
-        )
+        return await self.call("kv-range", query, READ_TIMEOUT_S)
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> StorePage:
         """Wait for changes behind a revision.
@@ -129,25 +128,20 @@
             "after": str(after),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        answer = await self.call("kv-watch", query, wait_s + READ_TIMEOUT_S)
-        return StorePage(
-            items=tuple(read_item(item) for item in answer["events"]),
-            revision=answer["store_revision"],
-            has_more=False,
-        )
+        return await self.call("kv-watch", query, wait_s + READ_TIMEOUT_S)
 
     async def call(
         self, name: str, query: dict[str, str], timeout_s: float
-    ) -> dict[str, Any]:
-        """Make one call and return its body."""
+    ) -> StorePage:
+        """Make one call and return its answer."""
         self.n_calls += 1
         try:
             async with asyncio.timeout(timeout_s):
                 connection = await self.connect()
                 reply = await connection.request(self.encode(name, query))
             if reply.status == 200:
-                return json.loads(reply.body)
-        except (ExchangeError, TimeoutError, ValueError) as error:
+                return read_page(json.loads(reply.body))
+        except (ExchangeError, TimeoutError, ValueError, KeyError, TypeError) as error:
             self.close()
             detail = str(error) or "timeout"
             raise StoreError(step=name, peer=self.peer, detail=detail) from error
@@ -179,6 +173,16 @@
             self.connection = None
 
 
+def read_page(body: dict[str, Any]) -> StorePage:
+    """Return the items or events of an answer."""
+    items = body["items"] if "items" in body else body["events"]
+    return StorePage(
+        items=tuple(read_item(item) for item in items),
+        revision=body["store_revision"],
+        has_more=body.get("has_more", False),
+    )
+
+
 def read_item(item: dict[str, Any]) -> StoreItem:
     """Return an item or an event of the store."""
     is_removed = bool(item.get("tombstone"))
--- /dev/null
+++ b/foxtailway/platform/tests/test_main.py
@@ -0,0 +1,58 @@
+import asyncio
+import os
+import signal
+from contextlib import redirect_stderr
+from io import StringIO
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from unittest import IsolatedAsyncioTestCase, TestCase
+
+from foxtailway.platform.main import SidecarProcess, main
+from foxtailway.platform.settings import read_settings
+from foxtailway.platform.tests.test_settings import TEXT
+from foxtailway.sidecar.tests.support import make_log, wait_until
+
+
+class CommandLineTest(TestCase):
+    def test_missing_settings_are_named(self) -> None:
+        with redirect_stderr(StringIO()) as output:
+            self.assertEqual(main(["--settings", "/absent/settings.conf"]), 2)
+        self.assertIn("/absent/settings.conf", output.getvalue())
+
+
+class SidecarProcessTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        folder = TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "settings.conf"
+        text = TEXT.replace("10.0.0.1:830", "127.0.0.1:0830").replace(":0830", ":")
+        for port in ("0", "1", "2", "4"):
+            text = text.replace(f"127.0.0.1:{port}\n", "127.0.0.1:0\n")
+        self.path.write_text(text.replace("10.9.0.1:8309", "127.0.0.1:1"))
+        self.process = SidecarProcess(
+            path=str(self.path),
+            settings=read_settings(str(self.path)),
+            log=make_log(),
+        )
+
+    async def start(self) -> asyncio.Task:
+        task = asyncio.create_task(self.process.run())
+        await wait_until(lambda: self.process.node.ready_listener.server is not None)
+        return task
+
+    async def test_terminated_process_ends_with_status_zero(self) -> None:
+        task = await self.start()
+        self.assertFalse(self.process.node.is_ready())
+        os.kill(os.getpid(), signal.SIGTERM)
+        self.assertEqual(await task, 0)
+
+    async def test_changed_settings_are_taken_over(self) -> None:
+        text = self.path.read_text()
+        self.path.write_text(text.replace("service=records", "service=dispatch"))
+        self.process.reload()
+        self.assertEqual(self.process.node.dispatcher.service, "dispatch")
+
+    async def test_unusable_settings_leave_those_before(self) -> None:
+        self.path.write_text("")
+        self.process.reload()
+        self.assertEqual(self.process.settings.service, "records")
--- a/foxtailway/sidecar/call.py
+++ b/foxtailway/sidecar/call.py
@@ -23,6 +23,8 @@
         Whether it may be broken off and run again.
     priority : int
         Rank; 0 is served first.
+    can_wait : bool
+        Whether it may queue for a slot.
     due_at, deadline : float
         Loop times at which an answer is late and at which the caller gives up,
         in seconds.
@@ -36,6 +38,7 @@
     route: str
     is_idempotent: bool
     priority: int
+    can_wait: bool
     due_at: float
     deadline: float
     method: str
--- /dev/null
+++ b/foxtailway/sidecar/crash_guard.py
@@ -0,0 +1,58 @@
+"""Requests that crash the upstreams that run them."""
+
+from foxtailway.common.clock import Clock
+from foxtailway.routing.quarantine import CrashContainment, fingerprint
+
+__all__ = ["CrashGuard"]
+
+# Upstreams that a request may crash before it is refused; the platform's rules
+# allow three and a few retries.
+N_CRASHES = 2
+QUARANTINE_S = 30.0
+MAX_SUSPECTS = 1_000
+
+
+class CrashGuard:
+    """Refuse requests that crashed several upstreams, wherever they ran.
+
+    Parameters
+    ----------
+    host_id : str
+        Host of the sidecar.
+    clock : Clock
+        Source of time.
+
+    Notes
+    -----
+    The sidecar beside a crashed upstream tells all connected sidecars which
+    requests it ran. One that succeeds anywhere afterwards is no suspect for
+    the sidecar through which it entered.
+    """
+
+    def __init__(self, *, host_id: str, clock: Clock) -> None:
+        self.clock = clock
+        self.containment = CrashContainment(host_id=host_id, max_entries=MAX_SUSPECTS)
+
+    def is_quarantined(self, method: str, target: str, body: bytes) -> bool:
+        """Whether a request is refused."""
+        if not self.containment.suspects:
+            return False
+        mark = fingerprint(method=method, path=target, body=body)
+        return self.containment.check(mark, self.clock.now()) is not None
+
+    def record_crash(self, mark: str, upstream_id: str) -> bool:
+        """Learn that an upstream crashed; return whether the request is refused."""
+        return self.containment.record_loss(
+            mark,
+            upstream_id,
+            limit=N_CRASHES,
+            quarantine_s=QUARANTINE_S,
+            now=self.clock.now(),
+        )
+
+    def record_success(self, method: str, target: str, body: bytes) -> None:
+        """Learn that an upstream answered a request."""
+        if self.containment.suspects:
+            mark = fingerprint(method=method, path=target, body=body)
+            if mark in self.containment.suspects:
+                self.containment.record_success(mark, self.clock.now())
--- a/foxtailway/sidecar/dispatcher.py
+++ b/foxtailway/sidecar/dispatcher.py
@@ -10,6 +10,7 @@
     UpstreamAnswer,
     UpstreamCall,
 )
+from foxtailway.sidecar.crash_guard import CrashGuard
 from foxtailway.sidecar.http_listener import RequestHandler
 from foxtailway.sidecar.http_message import Answer, ClientRequest, HeaderNames
 from foxtailway.sidecar.log import EventLog
@@ -89,6 +90,8 @@
         Streams to other hosts.
     runner : UpstreamRunner
         Runs requests for the upstream on this host.
+    guard : CrashGuard
+        Knows the requests that crash upstreams.
     retry_ratio, retry_slack, retry_window_s : float
         Retry budget of the fleet for each service.
     log : EventLog
@@ -107,6 +110,7 @@
         selector: UpstreamSelector,
         peers: PeerPool,
         runner: UpstreamRunner,
+        guard: CrashGuard,
         retry_ratio: float,
         retry_slack: float,
         retry_window_s: float,
@@ -120,6 +124,7 @@
         self.selector = selector
         self.peers = peers
         self.runner = runner
+        self.guard = guard
         self.retry_ratio = retry_ratio
         self.retry_slack = retry_slack
         self.retry_window_s = retry_window_s
@@ -130,12 +135,34 @@
         self.index = RouteIndex()
         self.splits = SplitChooser(random_source=random_source)
         self.budgets: dict[str, RetryBudget] = {}
+        self.longest_remaining_ms: dict[str, int] = {}
 
     def apply(self, configuration: TrafficConfiguration) -> None:
         """Put a version in force for all requests that come after it."""
         self.configuration = configuration
         self.index = RouteIndex(routes=configuration.routes)
         self.splits.retain(configuration.routes)
+        names = {route.name for route in configuration.routes}
+        for name in self.longest_remaining_ms.keys() - names:
+            del self.longest_remaining_ms[name]
+
+    def reconfigure(
+        self,
+        *,
+        service: str,
+        retry_ratio: float,
+        retry_slack: float,
+        retry_window_s: float,
+    ) -> None:
+        """Take over changed settings; what budgets have counted is kept."""
+        self.service = service
+        self.retry_ratio = retry_ratio
+        self.retry_slack = retry_slack
+        self.retry_window_s = retry_window_s
+        for budget in self.budgets.values():
+            budget.ratio = retry_ratio
+            budget.slack = retry_slack
+            budget.window_s = retry_window_s
 
     async def handle(self, request: ClientRequest) -> Answer:
         """Return the final answer to a request."""
@@ -156,6 +183,8 @@
         route = self.index.find(request.host, request.target)
         if route is None:
             return refuse(RefusalReason.NO_ROUTE)
+        if self.guard.is_quarantined(request.method, request.target, request.body):
+            return refuse(RefusalReason.QUARANTINED)
         now = self.loop.time()
         remaining_s = route.timeout_s
         if request.remaining_ms is not None:
@@ -164,10 +193,23 @@
             request=request,
             route=route,
             service=self.splits.choose(route),
-            due_at=now + route.target_latency_s,
+            due_at=now
+            + route.target_latency_s
+            - self.estimate_spent(route, request.remaining_ms),
             deadline=now + remaining_s,
         )
 
+    def estimate_spent(self, route: TrafficRoute, remaining_ms: int | None) -> float:
+        """Return the time that the client spent on earlier attempts, in seconds.
+
+        The first attempts of a route's clients have the longest time left.
+        """
+        if remaining_ms is None:
+            return 0.0
+        longest_ms = max(self.longest_remaining_ms.get(route.name, 0), remaining_ms)
+        self.longest_remaining_ms[route.name] = longest_ms
+        return (longest_ms - remaining_ms) / 1000
+
     async def carry(self, planned: PlannedRequest) -> CallResult:
         """Offer a request until it ran, may have run or is given up."""
         budget = self.find_budget(planned.service)
@@ -216,7 +258,12 @@
         self, planned: PlannedRequest, view: UpstreamView, head: bytes
     ) -> CallResult:
         """Send a request to the node beside an upstream."""
-        call = make_call(planned, view.upstream, head)
+        call = make_call(
+            planned,
+            view.upstream,
+            head,
+            can_wait=self.selector.is_in_region(view.upstream.zone),
+        )
         self.selector.sent(view)
         try:
             if view.upstream.address == self.address:
@@ -235,6 +282,8 @@
         now = self.loop.time()
         self.selector.record_report(view, result.load, now)
         if isinstance(result, UpstreamAnswer):
+            request = planned.request
+            self.guard.record_success(request.method, request.target, request.body)
             if result.answer.status < 500:
                 self.selector.record_run(
                     view, planned.route.name, result.run_time_s, now
@@ -316,7 +365,9 @@
     return UNKNOWN_STATUSES.get(refusal.reason, ANSWER_BAD_GATEWAY)
 
 
-def make_call(planned: PlannedRequest, upstream: Upstream, head: bytes) -> UpstreamCall:
+def make_call(
+    planned: PlannedRequest, upstream: Upstream, head: bytes, *, can_wait: bool
+) -> UpstreamCall:
     """Return the call that offers a request to an upstream."""
     request = planned.request
     return UpstreamCall(
@@ -324,6 +375,7 @@
         route=planned.route.name,
         is_idempotent=planned.route.is_idempotent,
         priority=planned.route.priority,
+        can_wait=can_wait,
         due_at=planned.due_at,
         deadline=planned.deadline,
         method=request.method,
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -6,11 +6,14 @@
 from random import Random
 from typing import Any
 
+from foxtailway.common.clock import MonotonicClock
+from foxtailway.sidecar.crash_guard import CrashGuard
 from foxtailway.sidecar.dispatcher import RequestDispatcher
 from foxtailway.sidecar.http_listener import HttpListener
 from foxtailway.sidecar.http_message import HeaderNames
 from foxtailway.sidecar.log import EventLog
 from foxtailway.sidecar.peer_listener import PeerListener
+from foxtailway.sidecar.peer_message import PeerCrash
 from foxtailway.sidecar.peer_pool import PeerPool
 from foxtailway.sidecar.peer_stream import make_peer_codec
 from foxtailway.sidecar.ready import ReadyHandler
@@ -83,7 +86,10 @@
             zone_regions=settings.zone_regions,
             random_source=random_source,
         )
-        self.peers = PeerPool(port=settings.peer_listener.port, codec=codec, log=log)
+        self.guard = CrashGuard(host_id=settings.host_id, clock=MonotonicClock())
+        self.peers = PeerPool(
+            port=settings.peer_listener.port, codec=codec, guard=self.guard, log=log
+        )
         self.runner = UpstreamRunner(
             names=names,
             pool=UpstreamPool(
@@ -92,6 +98,8 @@
                 id_header=names.request_id,
             ),
             membership=self.membership,
+            guard=self.guard,
+            on_crash=self.report_crash,
             log=log,
         )
         self.peer_listener = PeerListener(
@@ -108,6 +116,7 @@
             selector=self.selector,
             peers=self.peers,
             runner=self.runner,
+            guard=self.guard,
             retry_ratio=settings.retry_ratio,
             retry_slack=settings.retry_slack,
             retry_window_s=settings.retry_window_s,
@@ -156,6 +165,31 @@
             n_routes=len(configuration.routes),
         )
 
+    def report_crash(self, mark: str, upstream_id: str) -> None:
+        """Tell all sidecars of a request during which the upstream crashed."""
+        is_quarantined = self.guard.record_crash(mark, upstream_id)
+        self.peer_listener.broadcast(
+            PeerCrash(fingerprint=mark, upstream_id=upstream_id)
+        )
+        self.log.write(
+            "upstream_crashed",
+            upstream=upstream_id,
+            fingerprint=mark,
+            is_quarantined=is_quarantined,
+        )
+
+    def reconfigure(self, settings: Any) -> None:
+        """Take over changed settings; listeners keep their addresses."""
+        self.settings = settings
+        self.selector.zone = settings.zone
+        self.selector.zone_regions = settings.zone_regions
+        self.dispatcher.reconfigure(
+            service=settings.service,
+            retry_ratio=settings.retry_ratio,
+            retry_slack=settings.retry_slack,
+            retry_window_s=settings.retry_window_s,
+        )
+
     def membership_changed(self) -> None:
         """Drop what is known of upstreams that are gone."""
         upstreams = self.membership.upstreams
--- a/foxtailway/sidecar/peer_listener.py
+++ b/foxtailway/sidecar/peer_listener.py
@@ -107,8 +107,12 @@
 
     def say_goodbye(self) -> None:
         """Ask all peers to send no new requests."""
+        self.broadcast(PeerGoodbye(address=self.address))
+
+    def broadcast(self, message: object) -> None:
+        """Send a message to all connected peers."""
         for stream in self.streams:
-            stream.send(PeerGoodbye(address=self.address))
+            stream.send(message)
 
     def close(self) -> None:
         """Close all streams."""
@@ -125,6 +129,7 @@
         route=message.route,
         is_idempotent=message.is_idempotent,
         priority=message.priority,
+        can_wait=message.can_wait,
         due_at=now + message.due_ms / 1000,
         deadline=now + message.remaining_ms / 1000,
         method=message.method,
--- a/foxtailway/sidecar/peer_message.py
+++ b/foxtailway/sidecar/peer_message.py
@@ -8,6 +8,7 @@
     "PEER_MESSAGE_TYPES",
     "PeerAnswer",
     "PeerCancel",
+    "PeerCrash",
     "PeerGoodbye",
     "PeerLoad",
     "PeerPing",
@@ -52,6 +53,8 @@
         Whether it may be broken off and run again.
     priority : int
         Rank; 0 is served first.
+    can_wait : bool
+        Whether it may queue for a slot.
     due_ms : int
         Time until an answer is late, in milliseconds; may be negative.
     remaining_ms : int
@@ -69,6 +72,7 @@
     route: str
     is_idempotent: bool
     priority: int
+    can_wait: bool
     due_ms: int
     remaining_ms: int
     method: str
@@ -157,6 +161,22 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerCrash:
+    """Tell that the sender's upstream crashed while it ran a request.
+
+    Parameters
+    ----------
+    fingerprint : str
+        Fingerprint of the request.
+    upstream_id : str
+        Upstream that crashed.
+    """
+
+    fingerprint: str
+    upstream_id: str
+
+
 PEER_MESSAGE_TYPES = (
     PeerRequest,
     PeerAnswer,
@@ -165,4 +185,5 @@
     PeerPing,
     PeerPong,
     PeerGoodbye,
+    PeerCrash,
 )
--- a/foxtailway/sidecar/peer_pool.py
+++ b/foxtailway/sidecar/peer_pool.py
@@ -11,11 +11,13 @@
     UpstreamAnswer,
     UpstreamCall,
 )
+from foxtailway.sidecar.crash_guard import CrashGuard
 from foxtailway.sidecar.http_message import Answer
 from foxtailway.sidecar.log import EventLog
 from foxtailway.sidecar.peer_message import (
     PeerAnswer,
     PeerCancel,
+    PeerCrash,
     PeerGoodbye,
     PeerLoad,
     PeerPing,
@@ -57,13 +59,22 @@
         Port on which it takes streams.
     codec : MessagePlans
         Codec of the streams.
+    guard : CrashGuard
+        Learns of requests that crash upstreams.
     log : EventLog
         Receiver of events.
     """
 
     def __init__(
-        self, *, address: str, port: int, codec: MessagePlans, log: EventLog
+        self,
+        *,
+        address: str,
+        port: int,
+        codec: MessagePlans,
+        guard: CrashGuard,
+        log: EventLog,
     ) -> None:
+        self.guard = guard
         self.address = address
         self.port = port
         self.codec = codec
@@ -158,6 +169,8 @@
                     pending.future.set_result(read_result(message))
             case PeerGoodbye():
                 self.blocked_until = self.loop.time() + GOODBYE_S
+            case PeerCrash():
+                self.guard.record_crash(message.fingerprint, message.upstream_id)
             case PeerPong():
                 return
             case _:
@@ -246,11 +259,16 @@
         Port on which every sidecar takes streams.
     codec : MessagePlans
         Codec of the streams.
+    guard : CrashGuard
+        Learns of requests that crash upstreams.
     log : EventLog
         Receiver of events.
     """
 
-    def __init__(self, *, port: int, codec: MessagePlans, log: EventLog) -> None:
+    def __init__(
+        self, *, port: int, codec: MessagePlans, guard: CrashGuard, log: EventLog
+    ) -> None:
+        self.guard = guard
         self.port = port
         self.codec = codec
         self.log = log
@@ -261,7 +279,11 @@
         link = self.links.get(address)
         if link is None:
             link = PeerLink(
-                address=address, port=self.port, codec=self.codec, log=self.log
+                address=address,
+                port=self.port,
+                codec=self.codec,
+                guard=self.guard,
+                log=self.log,
             )
             self.links[address] = link
         return await link.call(call)
@@ -288,6 +310,7 @@
         route=call.route,
         is_idempotent=call.is_idempotent,
         priority=call.priority,
+        can_wait=call.can_wait,
         due_ms=int((call.due_at - now) * 1000),
         remaining_ms=int((call.deadline - now) * 1000),
         method=call.method,
--- a/foxtailway/sidecar/tests/support.py
+++ b/foxtailway/sidecar/tests/support.py
@@ -67,6 +67,7 @@
         "route": "lookup",
         "is_idempotent": True,
         "priority": 1,
+        "can_wait": True,
         "due_at": now + 2.0,
         "deadline": now + 5.0,
         "method": "GET",
@@ -96,6 +97,7 @@
         self.scripts = list(scripts)
         self.requests: list[str] = []
         self.n_connections = 0
+        self.writers: list[asyncio.StreamWriter] = []
         self.server: asyncio.Server | None = None
         self.port = 0
 
@@ -112,6 +114,7 @@
     ) -> None:
         """Run the next script for each request of a connection."""
         self.n_connections += 1
+        self.writers.append(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
--- a/foxtailway/sidecar/tests/test_dispatcher.py
+++ b/foxtailway/sidecar/tests/test_dispatcher.py
@@ -2,13 +2,16 @@
 from random import Random
 from unittest import IsolatedAsyncioTestCase
 
+from foxtailway.common.clock import ManualClock
 from foxtailway.routing.outcome import Outcome, RefusalReason
+from foxtailway.routing.quarantine import fingerprint
 from foxtailway.sidecar.call import (
     CallRefusal,
     CallResult,
     UpstreamAnswer,
     UpstreamCall,
 )
+from foxtailway.sidecar.crash_guard import CrashGuard
 from foxtailway.sidecar.dispatcher import RequestDispatcher
 from foxtailway.sidecar.http_message import Answer
 from foxtailway.sidecar.tests.support import NAMES, make_client_request, make_log
@@ -42,6 +45,7 @@
     async def asyncSetUp(self) -> None:
         self.peers = ScriptedPeers()
         self.membership = Membership()
+        self.guard = CrashGuard(host_id="host-1", clock=ManualClock())
         for number in range(3):
             self.membership.put(
                 make_upstream(f"u-{number}", address=f"10.0.0.{number}")
@@ -56,6 +60,7 @@
             ),
             peers=self.peers,
             runner=None,
+            guard=self.guard,
             retry_ratio=0.2,
             retry_slack=56.0,
             retry_window_s=10.0,
@@ -137,6 +142,22 @@
         self.assertEqual(answer.status, 503)
         self.assertEqual(len(self.peers.calls), 1)
 
+    async def test_request_that_crashed_upstreams_is_refused_at_once(self) -> None:
+        self.configure()
+        mark = fingerprint(method="GET", path="/x", body=b"")
+        for upstream_id in ("u-0", "u-1"):
+            self.guard.record_crash(mark, upstream_id)
+        self.assertEqual((await self.handle()).status, 503)
+        self.assertEqual(self.peers.calls, [])
+        self.assertEqual((await self.handle(DONE, target="/y")).status, 200)
+
+    async def test_success_clears_a_bystander_of_a_crash(self) -> None:
+        self.configure()
+        mark = fingerprint(method="GET", path="/x", body=b"")
+        self.guard.record_crash(mark, "u-0")
+        await self.handle(DONE)
+        self.assertFalse(self.guard.record_crash(mark, "u-1"))
+
     async def test_part_of_a_split_is_not_moved_to_another_service(self) -> None:
         self.configure()
         for number in range(3):
--- a/foxtailway/sidecar/tests/test_upstream_runner.py
+++ b/foxtailway/sidecar/tests/test_upstream_runner.py
@@ -2,8 +2,10 @@
 from contextlib import suppress
 from unittest import IsolatedAsyncioTestCase
 
+from foxtailway.common.clock import ManualClock
 from foxtailway.routing.outcome import Outcome, RefusalReason
 from foxtailway.sidecar.call import CallRefusal, CallResult, UpstreamAnswer
+from foxtailway.sidecar.crash_guard import CrashGuard
 from foxtailway.sidecar.tests.support import (
     NAMES,
     ScriptedUpstream,
@@ -24,6 +26,7 @@
 class UpstreamRunnerTest(IsolatedAsyncioTestCase):
     def make_runner(self, upstream: ScriptedUpstream) -> UpstreamRunner:
         self.membership = Membership()
+        self.crashes: list[str] = []
         self.membership.put(make_upstream("u-1", n_slots=1))
         runner = UpstreamRunner(
             names=NAMES,
@@ -31,6 +34,8 @@
                 address="127.0.0.1", port=upstream.port, id_header=NAMES.request_id
             ),
             membership=self.membership,
+            guard=CrashGuard(host_id="host-1", clock=ManualClock()),
+            on_crash=lambda mark, upstream_id: self.crashes.append(upstream_id),
             log=make_log(),
         )
         self.addCleanup(runner.close)
@@ -74,6 +79,27 @@
             result = await self.run_call(self.make_runner(upstream))
         self.assert_refused(result, Outcome.UNKNOWN, RefusalReason.LOST)
 
+    async def test_lost_connection_is_no_crash(self) -> None:
+        async with ScriptedUpstream(resetting()) as upstream:
+            runner = self.make_runner(upstream)
+            await self.run_call(runner)
+            await asyncio.wait(runner.examinations)
+        self.assertEqual(self.crashes, [])
+
+    async def test_upstream_that_takes_no_connection_has_crashed(self) -> None:
+        released = asyncio.Event()
+        async with ScriptedUpstream(holding(released)) as upstream:
+            runner = self.make_runner(upstream)
+            task = asyncio.create_task(self.run_call(runner))
+            await wait_until(lambda: bool(upstream.requests))
+            upstream.server.close()
+            await upstream.server.wait_closed()
+            connection = next(iter(upstream.writers))
+            connection.transport.abort()
+            await task
+            await asyncio.wait(runner.examinations)
+        self.assertEqual(self.crashes, ["u-1"])
+
     async def test_unavailable_without_mark_is_an_answer_of_the_upstream(self) -> None:
         async with ScriptedUpstream(replying(status="503 Busy")) as upstream:
             result = await self.run_call(self.make_runner(upstream))
--- a/foxtailway/sidecar/upstream_pool.py
+++ b/foxtailway/sidecar/upstream_pool.py
@@ -41,6 +41,10 @@
             if connection.can_reuse(now, limit_s):
                 return connection
             connection.close()
+        return await self.connect()
+
+    async def connect(self) -> HttpConnection:
+        """Return a new connection; raise `ExchangeError` if there is none."""
         return await connect_http(
             address=self.address,
             port=self.port,
--- a/foxtailway/sidecar/upstream_runner.py
+++ b/foxtailway/sidecar/upstream_runner.py
@@ -1,14 +1,17 @@
 """Running of requests at the upstream beside the sidecar."""
 
 import asyncio
+from collections.abc import Callable
 
 from foxtailway.routing.outcome import Outcome, RefusalReason
+from foxtailway.routing.quarantine import fingerprint
 from foxtailway.sidecar.call import (
     CallRefusal,
     CallResult,
     UpstreamAnswer,
     UpstreamCall,
 )
+from foxtailway.sidecar.crash_guard import CrashGuard
 from foxtailway.sidecar.http_connection import (
     ExchangeError,
     HttpConnection,
@@ -50,6 +53,11 @@
         Connections to the upstream.
     membership : Membership
         Upstreams that exist.
+    guard : CrashGuard
+        Knows the requests that crash upstreams.
+    on_crash : callable
+        Called with the fingerprint of a request and the upstream that crashed
+        while running it.
     log : EventLog
         Receiver of decisions.
     """
@@ -60,8 +68,13 @@
         names: HeaderNames,
         pool: UpstreamPool,
         membership: Membership,
+        guard: CrashGuard,
+        on_crash: Callable[[str, str], None],
         log: EventLog,
     ) -> None:
+        self.guard = guard
+        self.on_crash = on_crash
+        self.examinations: set[asyncio.Task] = set()
         self.names = names
         self.pool = pool
         self.membership = membership
@@ -95,7 +108,7 @@
             due_at=call.due_at,
             deadline=call.deadline,
             kind=call.route,
-            arrived_at=self.loop.time(),
+            can_wait=call.can_wait,
         )
         if not await self.wait_for_slot(request):
             return self.refuse(RefusalReason.OVERLOADED)
@@ -110,6 +123,8 @@
             self.queue.n_slots = max(1, upstream.n_slots)
         if self.membership.is_leaving(call.upstream_id):
             return RefusalReason.DRAINING
+        if self.guard.is_quarantined(call.method, call.target, call.body):
+            return RefusalReason.QUARANTINED
         if call.deadline - self.loop.time() < MIN_REMAINING_S:
             return RefusalReason.EXPIRED
         return None
@@ -156,7 +171,7 @@
     def release_slot(self) -> None:
         """Give a slot back and hand it to the next request."""
         self.queue.release()
-        following = self.queue.take_next(self.loop.time())
+        following = self.queue.take_next()
         if following is not None:
             self.wake(following, True)
 
@@ -234,9 +249,26 @@
             raise
         except ExchangeError as error:
             self.log.write("upstream_lost", call.request_id, error=error)
+            self.start_examination(call)
             return self.refuse(RefusalReason.LOST, is_offered=True)
         return self.judge(call, reply, self.loop.time() - started)
 
+    def start_examination(self, call: UpstreamCall) -> None:
+        """Find out whether the upstream crashed or only lost a connection."""
+        task = self.loop.create_task(self.examine_loss(call))
+        self.examinations.add(task)
+        task.add_done_callback(self.examinations.discard)
+
+    async def examine_loss(self, call: UpstreamCall) -> None:
+        """Report a crash if the upstream takes no connection any more."""
+        try:
+            connection = await self.pool.connect()
+        except ExchangeError:
+            mark = fingerprint(method=call.method, path=call.target, body=call.body)
+            self.on_crash(mark, call.upstream_id)
+        else:
+            self.pool.release(connection)
+
     def judge(
         self, call: UpstreamCall, reply: HttpReply, run_time_s: float
     ) -> CallResult:
@@ -279,4 +311,6 @@
         """Close all connections to the upstream."""
         if self.ticker is not None:
             self.ticker.cancel()
+        for task in self.examinations:
+            task.cancel()
         self.pool.close()
--- a/foxtailway/traffic/selection.py
+++ b/foxtailway/traffic/selection.py
@@ -172,8 +172,11 @@
         if view.unreachable_until > now:
             return -1.0
         cost, delay_s = self.measure_way(view.upstream.zone)
+        wait_s = self.estimate_wait(view, now)
+        if wait_s > 0.0 and not self.is_in_region(view.upstream.zone):
+            return -cost
         run_time_s = self.estimate_run_time(view, route.name, now)
-        finish = now + 2 * delay_s + self.estimate_wait(view, now) + run_time_s
+        finish = now + 2 * delay_s + wait_s + run_time_s
         worth = answer_worth(finish, now=now, due_at=due_at, deadline=deadline)
         failure_ratio = view.failure_ratio * exp(-(now - view.failed_at) / FORGET_S)
         return worth * (1.0 - failure_ratio) - cost - 0.02 * run_time_s
@@ -197,12 +200,18 @@
             return mean_s * COLD_FACTOR
         return mean_s
 
+    def is_in_region(self, zone: str) -> bool:
+        """Whether a zone belongs to this node's region."""
+        if zone == self.zone:
+            return True
+        region = self.zone_regions.get(zone)
+        return region is not None and region == self.zone_regions.get(self.zone)
+
     def measure_way(self, zone: str) -> tuple[float, float]:
         """Return the cost of a call to a zone and its one-way delay in seconds."""
         if zone == self.zone:
             return 0.0, 0.0
-        region = self.zone_regions.get(zone)
-        if region is not None and region == self.zone_regions.get(self.zone):
+        if self.is_in_region(zone):
             return ZONE_COST, REGION_DELAY_S
         return REGION_COST, REMOTE_DELAY_S
 
--- a/foxtailway/traffic/slot_queue.py
+++ b/foxtailway/traffic/slot_queue.py
@@ -23,15 +23,15 @@
         Time at which the caller gives up, in seconds.
     kind : str
         Name under which run times are averaged, such as the route.
-    arrived_at : float
-        Time of arrival, in seconds.
+    can_wait : bool
+        Whether it may queue; otherwise it takes a free slot or none.
     """
 
     priority: int
     due_at: float
     deadline: float
     kind: str
-    arrived_at: float
+    can_wait: bool
 
 
 class SlotQueue:
@@ -44,9 +44,11 @@
 
     Notes
     -----
-    Requests that can still be answered in time go first, by rank and then by
-    the time at which they are due; the others run with what is left. A request
-    is refused as soon as the requests ahead of it leave no time to run it.
+    Requests run by rank and then by the time at which they are due. One is
+    queued only if those ahead of it leave time to answer it in time, so that
+    under lasting overload the slots work for answers that are worth most; one
+    that would be late even without a queue may wait until its deadline. A
+    waiting request that can no longer finish is refused at once.
     """
 
     def __init__(self, *, n_slots: int) -> None:
@@ -87,36 +89,39 @@
         if self.n_running < self.n_slots and not self.waiting:
             self.n_running += 1
             return True
-        if not self.is_servable(request, len(self.list_ahead(request, now)), now):
+        if not request.can_wait:
+            return False
+        if not self.is_servable(request, self.count_ahead(request), now):
             return False
         self.waiting.append(request)
         return None
 
-    def list_ahead(self, request: QueuedRequest, now: float) -> list[QueuedRequest]:
-        """Return the waiting requests that are served before a request."""
-        rank = self.rank(request, now)
-        return [other for other in self.waiting if self.rank(other, now) <= rank]
+    def count_ahead(self, request: QueuedRequest) -> int:
+        """Return the number of waiting requests that are served before one."""
+        rank = self.rank(request)
+        return sum(self.rank(other) <= rank for other in self.waiting)
 
     def is_servable(self, request: QueuedRequest, n_ahead: int, now: float) -> bool:
-        """Whether the request can finish before its deadline."""
-        wait_s = (n_ahead + 1) * self.mean_run_time_s / max(1, self.n_slots)
+        """Whether the request can finish while its answer is worth the slot."""
         run_time_s = self.estimate_run_time(request.kind)
-        return now + wait_s + run_time_s <= request.deadline
+        wait_s = (n_ahead + 1) * self.mean_run_time_s / max(1, self.n_slots)
+        is_late = now + run_time_s > request.due_at
+        limit = request.deadline if is_late else request.due_at
+        return now + wait_s + run_time_s <= limit
 
-    def rank(self, request: QueuedRequest, now: float) -> tuple[bool, int, float]:
+    def rank(self, request: QueuedRequest) -> tuple[int, float]:
         """Return the sort key of a waiting request; the least is served next."""
-        is_late = now + self.estimate_run_time(request.kind) > request.due_at
-        return (is_late, request.priority, request.due_at)
+        return (request.priority, request.due_at)
 
     def release(self) -> None:
         """Give a slot back."""
         self.n_running -= 1
 
-    def take_next(self, now: float) -> QueuedRequest | None:
+    def take_next(self) -> QueuedRequest | None:
         """Give a free slot to the next waiting request, if there is one."""
         if not self.waiting or self.n_running >= self.n_slots:
             return None
-        chosen = min(self.waiting, key=lambda request: self.rank(request, now))
+        chosen = min(self.waiting, key=self.rank)
         self.waiting.remove(chosen)
         self.n_running += 1
         return chosen
@@ -130,7 +135,7 @@
         """Remove and return the waiting requests that cannot finish in time."""
         kept: list[QueuedRequest] = []
         dropped: list[QueuedRequest] = []
-        for request in sorted(self.waiting, key=lambda item: self.rank(item, now)):
+        for request in sorted(self.waiting, key=self.rank):
             if self.is_servable(request, len(kept), now):
                 kept.append(request)
             else:
--- a/foxtailway/traffic/tests/test_selection.py
+++ b/foxtailway/traffic/tests/test_selection.py
@@ -49,6 +49,12 @@
         self.report(MIDDLE, n_busy=60)
         self.assertEqual(self.choose(FAR, MIDDLE, NEAR), "far")
 
+    def test_other_region_is_not_asked_to_queue(self) -> None:
+        self.report(NEAR, n_busy=60)
+        self.report(MIDDLE, n_busy=12)
+        self.report(FAR, n_busy=5)
+        self.assertEqual(self.choose(FAR, MIDDLE, NEAR), "middle")
+
     def test_slow_upstream_is_avoided_and_tried_again(self) -> None:
         for step in range(30):
             now = step * 0.01
