Serve late requests last and timely ones in order; metrics and decision logs

Counters and latency histograms are served on a port of their own, and each refusal and each offer without an answer is logged with its inputs.

--- a/foxtailway/platform/main.py
+++ b/foxtailway/platform/main.py
@@ -10,10 +10,11 @@
 
 from foxtailway.platform.feed import StoreFeed
 from foxtailway.platform.names import HEADER_NAMES, READY_PATH
-from foxtailway.platform.settings import SettingsError, SidecarSettings, read_settings
+from foxtailway.platform.settings import SettingsError, read_settings
 from foxtailway.platform.store import StoreClient
 from foxtailway.sidecar.log import EventLog
 from foxtailway.sidecar.node import SidecarNode, StopTimes
+from foxtailway.sidecar.settings import Endpoint, SidecarSettings
 
 __all__ = ["main"]
 
@@ -35,11 +36,24 @@
         Settings file; read again on SIGHUP and whenever it changes.
     settings : SidecarSettings
         Settings read at the start.
+    metrics_port : int or None
+        Port on which metrics are served, or None for none.
     log : EventLog
         Receiver of events.
     """
 
-    def __init__(self, *, path: str, settings: SidecarSettings, log: EventLog) -> None:
+    def __init__(
+        self,
+        *,
+        path: str,
+        settings: SidecarSettings,
+        metrics_port: int | None,
+        log: EventLog,
+    ) -> None:
+        self.metrics_endpoint = None
+        if metrics_port is not None:
+            address = settings.ready_listener.address
+            self.metrics_endpoint = Endpoint(address=address, port=metrics_port)
         self.path = path
         self.settings = settings
         self.log = log
@@ -65,7 +79,7 @@
             self.loop.add_signal_handler(number, self.stopped.set)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         try:
-            await self.node.start()
+            await self.node.start(metrics_endpoint=self.metrics_endpoint)
         except OSError as error:
             self.log.write("listen_failed", error=error)
             return EXIT_LISTEN
@@ -119,9 +133,14 @@
         return 0
 
 
-async def serve(path: str, settings: SidecarSettings, log: EventLog) -> int:
+async def serve(
+    path: str, settings: SidecarSettings, metrics_port: int | None, log: EventLog
+) -> int:
     """Run a sidecar and return the exit status."""
-    return await SidecarProcess(path=path, settings=settings, log=log).run()
+    process = SidecarProcess(
+        path=path, settings=settings, metrics_port=metrics_port, log=log
+    )
+    return await process.run()
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -135,6 +154,11 @@
         default=os.environ.get(SETTINGS_VARIABLE),
         help=f"settings file (default: the file named by {SETTINGS_VARIABLE})",
     )
+    parser.add_argument(
+        "--metrics-port",
+        type=int,
+        help="port on which metrics are served (default: none are served)",
+    )
     options = parser.parse_args(arguments)
     if options.settings is None:
         parser.error(f"--settings is missing and {SETTINGS_VARIABLE} is not set")
@@ -145,4 +169,4 @@
         return EXIT_SETTINGS
     log = EventLog(host_id=settings.host_id)
     log.open()
-    return asyncio.run(serve(options.settings, settings, log))
+    return asyncio.run(serve(options.settings, settings, options.metrics_port, log))
--- a/foxtailway/platform/settings.py
+++ b/foxtailway/platform/settings.py
@@ -1,11 +1,11 @@
 """Settings file of the platform."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 from foxtailway.platform.quantity import parse_duration
+from foxtailway.sidecar.settings import Endpoint, SidecarSettings
 
-__all__ = ["Endpoint", "SettingsError", "SidecarSettings", "read_settings"]
+__all__ = ["SettingsError", "read_settings"]
 
 ZONE_PREFIX = "zones."
 
@@ -27,49 +27,6 @@
         self.detail = detail
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Endpoint:
-    """Hold an IP address and a TCP port."""
-
-    address: str
-    port: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class SidecarSettings:
-    """Hold the settings of one sidecar.
-
-    Parameters
-    ----------
-    host_id, zone, service : str
-        Host, its availability zone and the service of its upstream.
-    zone_regions : Mapping of str to str
-        Region of each availability zone.
-    client_listener, peer_listener, ready_listener : Endpoint
-        Where clients, other sidecars and the platform's readiness check connect.
-    upstream, store : Endpoint
-        The upstream on this host and the platform's store.
-    grace_s : float
-        Time between SIGTERM and SIGKILL, in seconds.
-    retry_ratio, retry_slack, retry_window_s : float
-        Retry budget of the fleet for each service.
-    """
-
-    host_id: str
-    zone: str
-    service: str
-    zone_regions: Mapping[str, str]
-    client_listener: Endpoint
-    peer_listener: Endpoint
-    ready_listener: Endpoint
-    upstream: Endpoint
-    store: Endpoint
-    grace_s: float
-    retry_ratio: float
-    retry_slack: float
-    retry_window_s: float
-
-
 def read_settings(path: str) -> SidecarSettings:
     """Read the settings file at `path` or raise `SettingsError`."""
     try:
--- a/foxtailway/platform/store.py
+++ b/foxtailway/platform/store.py
@@ -8,13 +8,13 @@
 from typing import Any
 from urllib.parse import urlencode
 
-from foxtailway.platform.settings import Endpoint
 from foxtailway.sidecar.http_connection import (
     ExchangeError,
     HttpConnection,
     connect_http,
 )
 from foxtailway.sidecar.peer_stream import set_keepalive
+from foxtailway.sidecar.settings import Endpoint
 
 __all__ = ["HistoryLostError", "StoreClient", "StoreError", "StoreItem", "StorePage"]
 
--- a/foxtailway/platform/tests/store_stand_in.py
+++ b/foxtailway/platform/tests/store_stand_in.py
@@ -6,9 +6,9 @@
 from urllib.parse import parse_qs, urlsplit
 
 from foxtailway.platform.names import HEADER_NAMES
-from foxtailway.platform.settings import Endpoint
 from foxtailway.sidecar.http_listener import HttpListener, RequestHandler
 from foxtailway.sidecar.http_message import Answer, ClientRequest
+from foxtailway.sidecar.settings import Endpoint
 
 PAGE_SIZE = 3
 
--- a/foxtailway/platform/tests/test_main.py
+++ b/foxtailway/platform/tests/test_main.py
@@ -32,12 +32,13 @@
         self.process = SidecarProcess(
             path=str(self.path),
             settings=read_settings(str(self.path)),
+            metrics_port=0,
             log=make_log(),
         )
 
     async def start(self) -> asyncio.Task:
         task = asyncio.create_task(self.process.run())
-        await wait_until(lambda: self.process.node.ready_listener.server is not None)
+        await wait_until(lambda: self.process.node.metrics_listener.server is not None)
         return task
 
     async def test_terminated_process_ends_with_status_zero(self) -> None:
@@ -46,6 +47,21 @@
         os.kill(os.getpid(), signal.SIGTERM)
         self.assertEqual(await task, 0)
 
+    async def test_metrics_are_served(self) -> None:
+        node = self.process.node
+        node.metrics.count_answer("records", 200, 0.02)
+        node.metrics.count_refusal("records", "overloaded")
+        task = await self.start()
+        port = node.metrics_listener.server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n")
+        text = (await reader.read()).decode()
+        writer.close()
+        self.assertIn('answers_total{service="records",status="200"} 1', text)
+        self.assertIn('bucket{le="0.025",service="records"} 1', text)
+        self.assertIn("foxtailway_sidecar_slots_busy 0", text)
+        task.cancel()
+
     async def test_changed_settings_are_taken_over(self) -> None:
         text = self.path.read_text()
         self.path.write_text(text.replace("service=records", "service=dispatch"))
--- a/foxtailway/sidecar/dispatcher.py
+++ b/foxtailway/sidecar/dispatcher.py
@@ -14,6 +14,7 @@
 from foxtailway.sidecar.http_listener import RequestHandler
 from foxtailway.sidecar.http_message import Answer, ClientRequest, HeaderNames
 from foxtailway.sidecar.log import EventLog
+from foxtailway.sidecar.metrics import SidecarMetrics
 from foxtailway.sidecar.peer_pool import PeerPool
 from foxtailway.sidecar.upstream_runner import UpstreamRunner
 from foxtailway.traffic.configuration import TrafficConfiguration, TrafficRoute
@@ -35,6 +36,7 @@
     RefusalReason.MALFORMED: 400,
 }
 UNKNOWN_STATUSES = {RefusalReason.EXPIRED: 504}
+LOWEST_FAILURE_STATUS = 500
 ANSWER_BAD_GATEWAY = 502
 ANSWER_UNAVAILABLE = 503
 
@@ -94,6 +96,8 @@
         Knows the requests that crash upstreams.
     retry_ratio, retry_slack, retry_window_s : float
         Retry budget of the fleet for each service.
+    metrics : SidecarMetrics
+        Counts answers, refusals and repeats.
     log : EventLog
         Receiver of decisions.
     random_source : Random
@@ -114,9 +118,11 @@
         retry_ratio: float,
         retry_slack: float,
         retry_window_s: float,
+        metrics: SidecarMetrics,
         log: EventLog,
         random_source: Random,
     ) -> None:
+        self.metrics = metrics
         self.names = names
         self.service = service
         self.address = address
@@ -135,16 +141,12 @@
         self.index = RouteIndex()
         self.splits = SplitChooser(random_source=random_source)
         self.budgets: dict[str, RetryBudget] = {}
-        self.longest_remaining_ms: dict[str, int] = {}
 
     def apply(self, configuration: TrafficConfiguration) -> None:
         """Put a version in force for all requests that come after it."""
         self.configuration = configuration
         self.index = RouteIndex(routes=configuration.routes)
         self.splits.retain(configuration.routes)
-        names = {route.name for route in configuration.routes}
-        for name in self.longest_remaining_ms.keys() - names:
-            del self.longest_remaining_ms[name]
 
     def reconfigure(
         self,
@@ -166,12 +168,24 @@
 
     async def handle(self, request: ClientRequest) -> Answer:
         """Return the final answer to a request."""
+        started = self.loop.time()
         planned = self.plan(request)
         if isinstance(planned, CallRefusal):
-            return self.conclude(request, planned)
+            return self.conclude(request, "", planned, started)
         result = await self.carry(planned)
         if isinstance(result, CallRefusal):
-            return self.conclude(request, result)
+            return self.conclude(request, planned.service, result, started)
+        status = result.answer.status
+        self.metrics.count_answer(planned.service, status, self.loop.time() - started)
+        if status >= LOWEST_FAILURE_STATUS:
+            self.log.write(
+                "upstream_failed",
+                request.request_id,
+                service=planned.service,
+                route=planned.route.name,
+                status=status,
+                run_time_s=round(result.run_time_s, 4),
+            )
         return result.answer
 
     def plan(self, request: ClientRequest) -> PlannedRequest | CallRefusal:
@@ -193,23 +207,10 @@
             request=request,
             route=route,
             service=self.splits.choose(route),
-            due_at=now
-            + route.target_latency_s
-            - self.estimate_spent(route, request.remaining_ms),
+            due_at=now + route.target_latency_s,
             deadline=now + remaining_s,
         )
 
-    def estimate_spent(self, route: TrafficRoute, remaining_ms: int | None) -> float:
-        """Return the time that the client spent on earlier attempts, in seconds.
-
-        The first attempts of a route's clients have the longest time left.
-        """
-        if remaining_ms is None:
-            return 0.0
-        longest_ms = max(self.longest_remaining_ms.get(route.name, 0), remaining_ms)
-        self.longest_remaining_ms[route.name] = longest_ms
-        return (longest_ms - remaining_ms) / 1000
-
     async def carry(self, planned: PlannedRequest) -> CallResult:
         """Offer a request until it ran, may have run or is given up."""
         budget = self.find_budget(planned.service)
@@ -273,8 +274,31 @@
         finally:
             self.selector.finished(view)
         self.learn(planned, view, result)
+        if isinstance(result, CallRefusal):
+            self.log_offer(planned, view, result)
         return result
 
+    def log_offer(
+        self, planned: PlannedRequest, view: UpstreamView, refusal: CallRefusal
+    ) -> None:
+        """Log why an upstream brought no answer, and what was known of it."""
+        now = self.loop.time()
+        load = view.report
+        self.log.write(
+            "not_answered",
+            planned.request.request_id or "-",
+            upstream=view.upstream.upstream_id,
+            peer=view.upstream.address,
+            zone=view.upstream.zone,
+            outcome=refusal.outcome.value,
+            reason=refusal.reason.value,
+            is_offered=refusal.is_offered,
+            n_busy=None if load is None else load.n_busy,
+            n_slots=None if load is None else load.n_slots,
+            report_age_s=None if load is None else round(now - view.reported_at, 3),
+            remaining_s=round(planned.deadline - now, 4),
+        )
+
     def learn(
         self, planned: PlannedRequest, view: UpstreamView, result: CallResult
     ) -> None:
@@ -315,7 +339,10 @@
         now = self.loop.time()
         if now >= planned.deadline:
             return False
-        return budget.try_repeat(max(1, len(self.membership.upstreams)), now)
+        if not budget.try_repeat(max(1, len(self.membership.upstreams)), now):
+            return False
+        self.metrics.count_repeat(planned.service)
+        return True
 
     def find_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
@@ -329,16 +356,31 @@
             self.budgets[service] = budget
         return budget
 
-    def conclude(self, request: ClientRequest, refusal: CallRefusal) -> Answer:
+    def conclude(
+        self,
+        request: ClientRequest,
+        service: str,
+        refusal: CallRefusal,
+        started: float,
+    ) -> Answer:
         """Return the answer that tells a client of a refusal."""
         status = choose_status(refusal)
+        latency_s = self.loop.time() - started
+        self.metrics.count_answer(service, status, latency_s)
+        self.metrics.count_refusal(service, refusal.reason.value)
         self.log.write(
             "refused",
             request.request_id or "-",
+            service=service,
+            host_header=request.host,
+            target=request.target,
             status=status,
             outcome=refusal.outcome.value,
             reason=refusal.reason.value,
             is_offered=refusal.is_offered,
+            remaining_ms=request.remaining_ms,
+            latency_s=round(latency_s, 4),
+            n_ready=len(self.membership.list_ready(service)),
             version=self.configuration.version if self.configuration else None,
         )
         if status != ANSWER_UNAVAILABLE:
--- /dev/null
+++ b/foxtailway/sidecar/metrics.py
@@ -0,0 +1,127 @@
+"""Counters and latency histograms of a sidecar."""
+
+from bisect import bisect_left
+from collections import Counter as Tally
+from collections.abc import Callable
+
+from foxtailway.sidecar.http_listener import RequestHandler
+from foxtailway.sidecar.http_message import Answer, ClientRequest
+
+__all__ = ["MetricsHandler", "SidecarMetrics"]
+
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
+PREFIX = "foxtailway_sidecar_"
+
+
+class LatencyHistogram:
+    """Count latencies by bucket."""
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(LATENCY_BUCKETS_S) + 1)
+        self.sum_s = 0.0
+
+    def observe(self, latency_s: float) -> None:
+        """Count one latency."""
+        self.counts[bisect_left(LATENCY_BUCKETS_S, latency_s)] += 1
+        self.sum_s += latency_s
+
+
+class SidecarMetrics:
+    """Count what a sidecar does.
+
+    Parameters
+    ----------
+    read_gauges : callable
+        Returns the present values of the gauges by name.
+
+    Notes
+    -----
+    Labels are services, statuses and reasons, whose number is bounded by the
+    configuration. The library that renders the metrics loads with the first
+    question for them, since it takes memory of every process.
+    """
+
+    def __init__(self, *, read_gauges: Callable[[], dict[str, float]]) -> None:
+        self.read_gauges = read_gauges
+        self.answers: Tally[tuple[str, int]] = Tally()
+        self.refusals: Tally[tuple[str, str]] = Tally()
+        self.repeats: Tally[str] = Tally()
+        self.latencies: dict[str, LatencyHistogram] = {}
+
+    def count_answer(self, service: str, status: int, latency_s: float) -> None:
+        """Count a final answer and its latency."""
+        self.answers[service, status] += 1
+        histogram = self.latencies.get(service)
+        if histogram is None:
+            histogram = self.latencies.setdefault(service, LatencyHistogram())
+        histogram.observe(latency_s)
+
+    def count_refusal(self, service: str, reason: str) -> None:
+        """Count a refusal by its reason."""
+        self.refusals[service, reason] += 1
+
+    def count_repeat(self, service: str) -> None:
+        """Count a request sent to one more upstream."""
+        self.repeats[service] += 1
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        from aioprometheus import Counter, Gauge, Registry, render
+        from aioprometheus.formats.text import TEXT_CONTENT_TYPE
+
+        registry = Registry()
+
+        def make(kind: type, name: str, text: str) -> Counter | Gauge:
+            return kind(PREFIX + name, text, registry=registry)
+
+        answers = make(Counter, "answers_total", "Final answers by status.")
+        for (service, status), count in self.answers.items():
+            answers.set({"service": service, "status": str(status)}, count)
+        refusals = make(Counter, "refusals_total", "Refusals by reason.")
+        for (service, reason), count in self.refusals.items():
+            refusals.set({"service": service, "reason": reason}, count)
+        repeats = make(Counter, "repeats_total", "Requests sent once more.")
+        for service, count in self.repeats.items():
+            repeats.set({"service": service}, count)
+        buckets = make(Counter, "latency_seconds_bucket", "Answers up to a latency.")
+        sums = make(Counter, "latency_seconds_sum", "Sum of latencies.")
+        for service, histogram in self.latencies.items():
+            for bound, count in accumulate_buckets(histogram):
+                buckets.set({"service": service, "le": bound}, count)
+            sums.set({"service": service}, histogram.sum_s)
+        for name, value in self.read_gauges().items():
+            make(Gauge, name, "Present value.").set({}, value)
+        return render(registry, [TEXT_CONTENT_TYPE])[0]
+
+
+def accumulate_buckets(histogram: LatencyHistogram) -> list[tuple[str, int]]:
+    """Return the bound of each bucket and the count of all up to it."""
+    total = 0
+    bounds = [*(str(bound) for bound in LATENCY_BUCKETS_S), "+Inf"]
+    accumulated = []
+    for bound, count in zip(bounds, histogram.counts, strict=True):
+        total += count
+        accumulated.append((bound, total))
+    return accumulated
+
+
+class MetricsHandler(RequestHandler):
+    """Serve the metrics.
+
+    Parameters
+    ----------
+    metrics : SidecarMetrics
+        Metrics to serve.
+    """
+
+    path = "/metrics"
+
+    def __init__(self, *, metrics: SidecarMetrics) -> None:
+        self.metrics = metrics
+
+    async def handle(self, request: ClientRequest) -> Answer:
+        """Answer a question for the metrics."""
+        if request.target.partition("?")[0] != self.path:
+            return Answer(status=404)
+        head = b"Content-Type: text/plain; version=0.0.4\r\n"
+        return Answer(status=200, head=head, body=self.metrics.render())
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -4,7 +4,6 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from random import Random
-from typing import Any
 
 from foxtailway.common.clock import MonotonicClock
 from foxtailway.sidecar.crash_guard import CrashGuard
@@ -12,11 +11,13 @@
 from foxtailway.sidecar.http_listener import HttpListener
 from foxtailway.sidecar.http_message import HeaderNames
 from foxtailway.sidecar.log import EventLog
+from foxtailway.sidecar.metrics import MetricsHandler, SidecarMetrics
 from foxtailway.sidecar.peer_listener import PeerListener
 from foxtailway.sidecar.peer_message import PeerCrash
 from foxtailway.sidecar.peer_pool import PeerPool
 from foxtailway.sidecar.peer_stream import make_peer_codec
 from foxtailway.sidecar.ready import ReadyHandler
+from foxtailway.sidecar.settings import Endpoint, SidecarSettings
 from foxtailway.sidecar.upstream_pool import UpstreamPool
 from foxtailway.sidecar.upstream_runner import UpstreamRunner
 from foxtailway.traffic.configuration import TrafficConfiguration
@@ -53,8 +54,8 @@
 
     Parameters
     ----------
-    settings : object
-        Settings with the attributes of `foxtailway.platform.settings`.
+    settings : SidecarSettings
+        Settings of the sidecar.
     names : HeaderNames
         Headers that carry meaning for the mesh.
     ready_path : str
@@ -68,7 +69,7 @@
     def __init__(
         self,
         *,
-        settings: Any,
+        settings: SidecarSettings,
         names: HeaderNames,
         ready_path: str,
         log: EventLog,
@@ -108,6 +109,7 @@
             address=settings.peer_listener.address,
             log=log,
         )
+        self.metrics = SidecarMetrics(read_gauges=self.read_gauges)
         self.dispatcher = RequestDispatcher(
             names=names,
             service=settings.service,
@@ -120,6 +122,7 @@
             retry_ratio=settings.retry_ratio,
             retry_slack=settings.retry_slack,
             retry_window_s=settings.retry_window_s,
+            metrics=self.metrics,
             log=log,
             random_source=random_source,
         )
@@ -127,9 +130,12 @@
         self.ready_listener = HttpListener(
             handler=ReadyHandler(path=ready_path, is_ready=self.is_ready), names=names
         )
+        self.metrics_listener = HttpListener(
+            handler=MetricsHandler(metrics=self.metrics), names=names
+        )
 
-    async def start(self) -> None:
-        """Listen on all ports."""
+    async def start(self, *, metrics_endpoint: Endpoint | None = None) -> None:
+        """Listen on all ports; the metrics are served if an endpoint is given."""
         settings = self.settings
         self.exit_stack.callback(self.runner.close)
         self.exit_stack.callback(self.peers.close)
@@ -138,7 +144,10 @@
         for listener, endpoint in (
             (self.client_listener, settings.client_listener),
             (self.ready_listener, settings.ready_listener),
+            (self.metrics_listener, metrics_endpoint),
         ):
+            if endpoint is None:
+                continue
             await listener.listen(address=endpoint.address, port=endpoint.port)
             self.exit_stack.callback(listener.close)
         self.ticker = self.loop.call_later(TICK_S, self.tick)
@@ -178,7 +187,22 @@
             is_quarantined=is_quarantined,
         )
 
-    def reconfigure(self, settings: Any) -> None:
+    def read_gauges(self) -> dict[str, float]:
+        """Return the present values of the gauges."""
+        configuration = self.dispatcher.configuration
+        return {
+            "configuration_version": configuration.version if configuration else 0,
+            "log_lines_dropped": self.log.n_dropped,
+            "peers": len(self.peers.links),
+            "ready": int(self.is_ready()),
+            "slots": self.runner.queue.n_slots,
+            "slots_busy": self.runner.queue.n_running,
+            "slot_queue": len(self.runner.queue.waiting),
+            "upstreams": len(self.membership.upstreams),
+            "upstreams_lapsed": len(self.membership.lapsed),
+        }
+
+    def reconfigure(self, settings: SidecarSettings) -> None:
         """Take over changed settings; listeners keep their addresses."""
         self.settings = settings
         self.selector.zone = settings.zone
--- a/foxtailway/sidecar/tests/support.py
+++ b/foxtailway/sidecar/tests/support.py
@@ -120,7 +120,7 @@
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 self.requests.append(head)
                 await self.scripts.pop(0)(reader, writer, find_id(head))
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             writer.close()
 
 
--- a/foxtailway/sidecar/tests/test_dispatcher.py
+++ b/foxtailway/sidecar/tests/test_dispatcher.py
@@ -14,6 +14,7 @@
 from foxtailway.sidecar.crash_guard import CrashGuard
 from foxtailway.sidecar.dispatcher import RequestDispatcher
 from foxtailway.sidecar.http_message import Answer
+from foxtailway.sidecar.metrics import SidecarMetrics
 from foxtailway.sidecar.tests.support import NAMES, make_client_request, make_log
 from foxtailway.traffic.configuration import ClientLimits, TrafficConfiguration
 from foxtailway.traffic.membership import Membership
@@ -64,6 +65,7 @@
             retry_ratio=0.2,
             retry_slack=56.0,
             retry_window_s=10.0,
+            metrics=SidecarMetrics(read_gauges=dict),
             log=make_log(),
             random_source=Random(1),
         )
--- a/foxtailway/traffic/slot_queue.py
+++ b/foxtailway/traffic/slot_queue.py
@@ -7,6 +7,9 @@
 # Run time assumed before any was measured, in seconds.
 INITIAL_RUN_TIME_S = 0.05
 RUN_TIME_GAIN = 0.1
+# Part of the time until a request is due that its expected end may use; the
+# rest covers the spread of run times.
+ON_TIME_SHARE = 0.8
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -25,6 +28,8 @@
         Name under which run times are averaged, such as the route.
     can_wait : bool
         Whether it may queue; otherwise it takes a free slot or none.
+    is_late : bool, default=False
+        Whether an answer would be late even without a queue; set on arrival.
     """
 
     priority: int
@@ -32,6 +37,7 @@
     deadline: float
     kind: str
     can_wait: bool
+    is_late: bool = False
 
 
 class SlotQueue:
@@ -46,9 +52,10 @@
     -----
     Requests run by rank and then by the time at which they are due. One is
     queued only if those ahead of it leave time to answer it in time, so that
-    under lasting overload the slots work for answers that are worth most; one
-    that would be late even without a queue may wait until its deadline. A
-    waiting request that can no longer finish is refused at once.
+    under lasting overload the slots work for answers that are worth most. One
+    that would be late even without a queue waits behind all others, until its
+    deadline at the longest. A waiting request that can no longer finish is
+    refused at once.
     """
 
     def __init__(self, *, n_slots: int) -> None:
@@ -91,6 +98,8 @@
             return True
         if not request.can_wait:
             return False
+        run_time_s = self.estimate_run_time(request.kind)
+        request.is_late = now + run_time_s > request.due_at
         if not self.is_servable(request, self.count_ahead(request), now):
             return False
         self.waiting.append(request)
@@ -103,15 +112,19 @@
 
     def is_servable(self, request: QueuedRequest, n_ahead: int, now: float) -> bool:
         """Whether the request can finish while its answer is worth the slot."""
-        run_time_s = self.estimate_run_time(request.kind)
+        limit = request.deadline
+        if not request.is_late:
+            limit = now + ON_TIME_SHARE * (request.due_at - now)
+        return self.estimate_end(request, n_ahead, now) <= limit
+
+    def estimate_end(self, request: QueuedRequest, n_ahead: int, now: float) -> float:
+        """Return when a waiting request is expected to finish, in seconds."""
         wait_s = (n_ahead + 1) * self.mean_run_time_s / max(1, self.n_slots)
-        is_late = now + run_time_s > request.due_at
-        limit = request.deadline if is_late else request.due_at
-        return now + wait_s + run_time_s <= limit
+        return now + wait_s + self.estimate_run_time(request.kind)
 
-    def rank(self, request: QueuedRequest) -> tuple[int, float]:
+    def rank(self, request: QueuedRequest) -> tuple[bool, int, float]:
         """Return the sort key of a waiting request; the least is served next."""
-        return (request.priority, request.due_at)
+        return (request.is_late, request.priority, request.due_at)
 
     def release(self) -> None:
         """Give a slot back."""
@@ -136,7 +149,7 @@
         kept: list[QueuedRequest] = []
         dropped: list[QueuedRequest] = []
         for request in sorted(self.waiting, key=self.rank):
-            if self.is_servable(request, len(kept), now):
+            if self.estimate_end(request, len(kept), now) <= request.deadline:
                 kept.append(request)
             else:
                 dropped.append(request)
