End the wait of a test whose request never arrived

Cause: beside load the abandoned request timed out before it reached the stand-in once, and the new loop of the test waited for ever. Change: the loop also ends when the slot is free again.

--- a/foxtailway/testing/tests/test_upstream.py
+++ b/foxtailway/testing/tests/test_upstream.py
@@ -56,8 +56,8 @@
             await asyncio.wait([first], timeout=0.001)
         with self.assertRaises(HTTPClientError):
             await fetch(f"{upstream.url}/b", request_timeout=0.03)
-        while not upstream.counters.n_abandoned:
-            await asyncio.sleep(0.001)
+        while not upstream.counters.n_abandoned and not first.done():
+            await asyncio.wait([first], timeout=0.001)
         self.assertEqual((await first).code, 200)
         await fetch(f"{upstream.url}/c")
         self.assertEqual(upstream.runs_by_path, {"/a": 1, "/c": 1})
