Refuse at once what would outlast a stopping process; explain failed requests

Change: a stopping node refuses, as not run, requests whose deadline lies behind its end (test_request_that_outlasts_the_process_is_refused_at_once). foxtailway explain reads logs of sidecars and tells the cause of a request or counts causes. benchmarks/http_stack.py compares HTTP libraries.

--- /dev/null
+++ b/benchmarks/http_stack.py
@@ -0,0 +1,133 @@
+"""Processor time of a request by HTTP server and client library."""
+
+import asyncio
+import json
+import time
+from collections.abc import Awaitable, Callable
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+
+from foxtailway.sidecar.http_connection import connect_http
+from foxtailway.sidecar.http_listener import HttpListener, RequestHandler
+from foxtailway.sidecar.http_message import Answer, ClientRequest, HeaderNames
+
+__all__ = ["main"]
+
+N_REQUESTS = 3_000
+N_ROUNDS = 5
+REQUEST = b"GET /x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r-1\r\n\r\n"
+REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+NAMES = HeaderNames(
+    request_id=b"x-request-id",
+    remaining_ms=b"x-remaining-ms",
+    seal=b"x-seal",
+    expected_upstream=b"x-expected",
+    not_run=b"x-not-run",
+    caller=b"x-caller",
+)
+
+
+class FixedHandler(RequestHandler):
+    """Answer every request alike."""
+
+    async def handle(self, request: ClientRequest) -> Answer:
+        """Return the answer."""
+        return Answer(status=200, body=b"hello")
+
+
+def answer_with_tornado(request: HTTPServerRequest) -> None:
+    """Answer a request of tornado's server."""
+    request.connection.write_headers(
+        ResponseStartLine("HTTP/1.1", 200, "OK"),
+        HTTPHeaders({"Content-Length": "5"}),
+        b"hello",
+    )
+    request.connection.finish()
+
+
+async def measure(send: Callable[[], Awaitable[object]]) -> float:
+    """Return the least processor time of a request over all rounds, in ms."""
+    rounds = []
+    for _ in range(N_ROUNDS):
+        started = time.process_time()
+        for _ in range(N_REQUESTS):
+            await send()
+        rounds.append((time.process_time() - started) / N_REQUESTS * 1000)
+    return round(min(rounds), 4)
+
+
+async def measure_server(port: int) -> float:
+    """Return the time of a request at a server, sent by a raw client."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+
+    async def send() -> None:
+        writer.write(REQUEST)
+        await reader.readuntil(b"hello")
+
+    cost_ms = await measure(send)
+    writer.close()
+    return cost_ms
+
+
+async def serve_raw(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Answer every request with the same bytes."""
+    try:
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(REPLY)
+    except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+        writer.close()
+
+
+async def measure_servers() -> dict[str, float]:
+    """Compare tornado's server and the sidecar's listener."""
+    tornado_server = HTTPServer(answer_with_tornado)
+    tornado_server.listen(0, "127.0.0.1")
+    (sock,) = tornado_server._sockets.values()
+    listener = HttpListener(handler=FixedHandler(), names=NAMES)
+    await listener.listen(address="127.0.0.1", port=0)
+    listener_port = listener.server.sockets[0].getsockname()[1]
+    costs = {
+        "tornado": await measure_server(sock.getsockname()[1]),
+        "httptools": await measure_server(listener_port),
+    }
+    tornado_server.stop()
+    listener.close()
+    return costs
+
+
+async def measure_clients() -> dict[str, float]:
+    """Compare the curl client and the sidecar's connection."""
+    server = await asyncio.start_server(serve_raw, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    curl = CurlAsyncHTTPClient(force_instance=True)
+    connection = await connect_http(address="127.0.0.1", port=port, timeout_s=5.0)
+    costs = {
+        "curl": await measure(lambda: curl.fetch(f"http://127.0.0.1:{port}/x")),
+        "httptools": await measure(lambda: connection.request(REQUEST)),
+    }
+    connection.close()
+    curl.close()
+    server.close()
+    return costs
+
+
+async def compare() -> dict[str, object]:
+    """Return the processor time of a request for each library, in ms."""
+    return {
+        "measure": "processor time of a request, peer included",
+        "unit": "ms",
+        "server": await measure_servers(),
+        "client": await measure_clients(),
+    }
+
+
+def main() -> None:
+    """Print one JSON object."""
+    print(json.dumps(asyncio.run(compare())))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/foxtailway/cli/explain.py
@@ -0,0 +1,108 @@
+"""Subcommand that explains failed requests from logs."""
+
+import sys
+from argparse import ArgumentParser, Namespace
+from collections.abc import Iterator
+from contextlib import ExitStack
+from dataclasses import asdict
+
+from foxtailway.cli.command import Command, ExitCode
+from foxtailway.cli.configuration_files import print_line
+from foxtailway.cli.table import format_table
+from foxtailway.explain.cause import count_causes, find_cause
+from foxtailway.explain.trace import LogEvent, LogReading, read_events, select_request
+from foxtailway.observe.document import encode_json
+
+__all__ = ["ExplainCommand"]
+
+TIMELINE_COLUMNS = ("TIME", "HOST", "EVENT", "INPUTS")
+CAUSE_COLUMNS = ("COUNT", "SERVICE", "STATUS", "REASON")
+
+
+class ExplainCommand(Command):
+    """Show the way of a request through the sidecars and why it failed."""
+
+    name = "explain"
+    summary = "explain failed requests from the logs of sidecars"
+
+    def configure(self, parser: ArgumentParser) -> None:
+        """Add the request, the logs and the format."""
+        parser.add_argument(
+            "--request", metavar="ID", help="request to explain; all are counted else"
+        )
+        parser.add_argument(
+            "logs", metavar="LOG", nargs="*", help="log files; standard input if none"
+        )
+        parser.add_argument(
+            "--json", action="store_true", help="print one JSON object per line"
+        )
+
+    def run(self, arguments: Namespace) -> ExitCode:
+        """Print a timeline and a cause, or a table of causes."""
+        try:
+            with ExitStack() as stack:
+                reading = read_events(read_lines(arguments.logs, stack))
+        except OSError as error:
+            print_line(f"cannot read the log: {error}")
+            return ExitCode.USAGE
+        if arguments.request is None:
+            print_causes(reading, as_json=arguments.json)
+            return ExitCode.OK
+        events = select_request(reading.events, arguments.request)
+        print_request(events, as_json=arguments.json)
+        print_unreadable(reading)
+        return ExitCode.OK if events else ExitCode.FINDING
+
+
+def read_lines(paths: list[str], stack: ExitStack) -> Iterator[str]:
+    """Yield the lines of the files, or those of standard input."""
+    if not paths:
+        yield from sys.stdin
+    for path in paths:
+        yield from stack.enter_context(open(path, encoding="utf-8", errors="replace"))
+
+
+def print_request(events: tuple[LogEvent, ...], *, as_json: bool) -> None:
+    """Print the timeline of a request and its cause."""
+    cause = find_cause(events)
+    if as_json:
+        document = {"events": [asdict(event) for event in events], "cause": cause}
+        print_line(encode_json(document).decode())
+        return
+    rows = [
+        (f"{event.time_s:.3f}", event.host, event.event, format_inputs(event))
+        for event in events
+    ]
+    for line in format_table(TIMELINE_COLUMNS, rows):
+        print_line(line)
+    print_line(f"cause: {cause}")
+
+
+def format_inputs(event: LogEvent) -> str:
+    """Return the inputs of an event as one text."""
+    return " ".join(f"{name}={value}" for name, value in event.fields.items())
+
+
+def print_causes(reading: LogReading, *, as_json: bool) -> None:
+    """Print how often each cause occurred."""
+    causes = count_causes(reading.events).most_common()
+    if as_json:
+        for (service, status, reason), count in causes:
+            row = {
+                "count": count,
+                "service": service,
+                "status": status,
+                "reason": reason,
+            }
+            print_line(encode_json(row).decode())
+        return
+    rows = [(str(count), *cause) for cause, count in causes]
+    for line in format_table(CAUSE_COLUMNS, rows):
+        print_line(line)
+    print_unreadable(reading)
+
+
+def print_unreadable(reading: LogReading) -> None:
+    """Tell of lines that hold no event."""
+    if reading.n_unreadable:
+        print_line(f"{reading.n_unreadable} lines could not be read")
--- a/foxtailway/cli/main.py
+++ b/foxtailway/cli/main.py
@@ -8,6 +8,7 @@
 from foxtailway.cli.check import CheckCommand
 from foxtailway.cli.command import Command
 from foxtailway.cli.diff import DiffCommand
+from foxtailway.cli.explain import ExplainCommand
 from foxtailway.cli.render import RenderCommand
 from foxtailway.cli.status import StatusCommand
 from foxtailway.cli.wait import WaitCommand
@@ -22,6 +23,7 @@
     StatusCommand(),
     AuditCommand(),
     WaitCommand(),
+    ExplainCommand(),
 )
 
 
--- /dev/null
+++ b/foxtailway/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Explanation of failed requests from the logs of sidecars."""
--- a/foxtailway/sidecar/dispatcher.py
+++ b/foxtailway/sidecar/dispatcher.py
@@ -102,6 +102,12 @@
         Receiver of decisions.
     random_source : Random
         Source of jitter.
+
+    Attributes
+    ----------
+    ends_at : float
+        Loop time at which the process ends, in seconds. Requests that may still
+        run then are refused.
     """
 
     def __init__(
@@ -141,6 +147,7 @@
         self.index = RouteIndex()
         self.splits = SplitChooser(random_source=random_source)
         self.budgets: dict[str, RetryBudget] = {}
+        self.ends_at = float("inf")
 
     def apply(self, configuration: TrafficConfiguration) -> None:
         """Put a version in force for all requests that come after it."""
@@ -203,12 +210,15 @@
         remaining_s = route.timeout_s
         if request.remaining_ms is not None:
             remaining_s = min(remaining_s, request.remaining_ms / 1000)
+        deadline = now + remaining_s
+        if deadline > self.ends_at:
+            return refuse(RefusalReason.DRAINING)
         return PlannedRequest(
             request=request,
             route=route,
             service=self.splits.choose(route),
             due_at=now + route.target_latency_s,
-            deadline=now + remaining_s,
+            deadline=deadline,
         )
 
     async def carry(self, planned: PlannedRequest) -> CallResult:
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -227,6 +227,7 @@
         readiness check needs some time to take effect.
         """
         self.is_stopping = True
+        self.dispatcher.ends_at = self.loop.time() + times.end_s
         await asyncio.sleep(times.goodbye_s)
         self.peer_listener.say_goodbye()
         await asyncio.sleep(times.close_s - times.goodbye_s)
--- a/foxtailway/sidecar/tests/test_dispatcher.py
+++ b/foxtailway/sidecar/tests/test_dispatcher.py
@@ -101,6 +101,14 @@
         left_s = self.peers.calls[0].deadline - asyncio.get_running_loop().time()
         self.assertLessEqual(left_s, 0.3)
 
+    async def test_request_that_outlasts_the_process_is_refused_at_once(self) -> None:
+        self.configure(timeout_s=2.0)
+        self.dispatcher.ends_at = asyncio.get_running_loop().time() + 1.0
+        answer = await self.handle(remaining_ms=1_500)
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(self.peers.calls, [])
+        self.assertEqual((await self.handle(DONE, remaining_ms=300)).status, 200)
+
     async def test_busy_upstreams_are_passed_over(self) -> None:
         self.configure(is_idempotent=False, max_attempts=1)
         answer = await self.handle(BUSY, BUSY, DONE)
