Feed a region by one reader and pass over replaced upstreams

A request for an upstream whose address had gone to another one was answered 421 again and again, and each try used up retry budget.

Change: FeedRoles chooses one reader a region by rendezvous hashing; it passes on what the store answered, compressed and with the last version only, and confirms every 0.6 s. After a 421 an upstream is passed over for 2 s without being asked.

--- a/foxtailway/platform/feed.py
+++ b/foxtailway/platform/feed.py
@@ -1,6 +1,8 @@
 """Following of the platform's store."""
 
 import asyncio
+import time
+import zlib
 from collections.abc import Sequence
 from random import Random
 
@@ -17,15 +19,22 @@
     StoreItem,
 )
 from foxtailway.sidecar.node import SidecarNode
+from foxtailway.sidecar.peer_message import PeerItem, PeerUpdate
 from foxtailway.traffic.membership import Upstream
 
 __all__ = ["StoreFeed"]
 
-WATCH_WAIT_S = 20.0
-# Wait of the first watch after a failure, which shows that the store works.
-REGAIN_WAIT_S = 0.3
+# Longest wait of a reader's watch. Each answer confirms to the followers that
+# they know everything, so it has to stay below the age that they accept.
+READER_WAIT_S = 0.6
+# Longest wait of a watch of a node that feeds no other.
+LONE_WAIT_S = 5.0
 # Pause after an answer, so that a series of changes costs few calls.
-COALESCE_S = 0.7
+COALESCE_S = 0.3
+# Interval at which a follower looks whether it is still fed.
+FOLLOW_INTERVAL_S = 0.1
+# Idle time after which a kept connection to the store is not trusted.
+MAX_IDLE_S = 2.0
 # Changes in one answer from which on more are likely to wait behind them.
 N_CHANGES_OF_BACKLOG = 10
 # Outage after which the keys are listed anew: the changes since then may hold
@@ -59,6 +68,8 @@
         self.revision: int | None = None
         self.backoff_s = FIRST_BACKOFF_S
         self.lost_at: float | None = None
+        self.called_at = self.loop.time()
+        node.update_handler = self.receive
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -66,6 +77,8 @@
             try:
                 if self.revision is None:
                     await self.list_all()
+                elif self.node.roles.is_fed(self.loop.time()):
+                    await asyncio.sleep(FOLLOW_INTERVAL_S)
                 else:
                     await self.watch_once()
             except HistoryLostError as error:
@@ -125,18 +138,72 @@
 
     async def watch_once(self) -> None:
         """Wait for changes and take them over."""
-        wait_s = WATCH_WAIT_S if self.lost_at is None else REGAIN_WAIT_S
+        if self.loop.time() - self.called_at > MAX_IDLE_S:
+            self.client.close()
+        asked_at = read_boot_time()
+        wait_s = READER_WAIT_S if self.node.roles.followers else LONE_WAIT_S
+        if self.lost_at is not None:
+            wait_s = READER_WAIT_S
         page = await self.client.watch(ALL_KEYS, self.revision, wait_s)
+        self.called_at = self.loop.time()
         self.answered()
+        base_revision = self.revision
         self.revision = max(self.revision, page.revision)
-        for item in page.items:
+        self.take(page.items)
+        age_s = read_boot_time() - asked_at
+        if not page.items:
+            age_s = max(0.0, age_s - wait_s)
+        self.pass_on(base_revision, page.items, age_s)
+        if 0 < len(page.items) < N_CHANGES_OF_BACKLOG:
+            await asyncio.sleep(COALESCE_S)
+
+    def pass_on(
+        self, base_revision: int, items: Sequence[StoreItem], age_s: float
+    ) -> None:
+        """Tell the followers what the store answered."""
+        if not self.node.roles.followers:
+            return
+        last = max(
+            (item.revision for item in items if is_configuration(item)), default=0
+        )
+        self.node.send_update(
+            PeerUpdate(
+                base_revision=base_revision,
+                revision=self.revision,
+                age_ms=int(age_s * 1000),
+                items=tuple(
+                    make_peer_item(item)
+                    for item in items
+                    if not is_configuration(item) or item.revision == last
+                ),
+            )
+        )
+
+    def receive(self, update: PeerUpdate) -> None:
+        """Take over what a reader passed on, unless changes are missing."""
+        if self.revision is None or update.base_revision > self.revision:
+            return
+        try:
+            items = tuple(
+                read_peer_item(item)
+                for item in update.items
+                if item.revision > self.revision
+            )
+        except zlib.error as error:
+            self.node.log.write("update_malformed", error=error)
+            return
+        self.revision = max(self.revision, update.revision)
+        self.take(items)
+        self.node.roles.confirm(self.loop.time() - update.age_ms / 1000)
+
+    def take(self, items: Sequence[StoreItem]) -> None:
+        """Take over changes."""
+        for item in items:
             if item.key.startswith(UPSTREAM_PREFIX):
                 self.take_upstream(item)
-        self.take_configurations(page.items)
-        if page.items:
+        self.take_configurations(items)
+        if items:
             self.node.membership_changed()
-        if 0 < len(page.items) < N_CHANGES_OF_BACKLOG:
-            await asyncio.sleep(COALESCE_S)
 
     def take_upstream(self, item: StoreItem) -> None:
         """Take over the change of an upstream's entry."""
@@ -181,3 +248,33 @@
                 continue
             self.node.apply(configuration)
             return
+
+
+def read_boot_time() -> float:
+    """Return a time in seconds that goes on while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def is_configuration(item: StoreItem) -> bool:
+    """Whether an item holds a configuration."""
+    return item.key == CONFIG_KEY and item.content is not None
+
+
+def make_peer_item(item: StoreItem) -> PeerItem:
+    """Return the message that carries an item."""
+    return PeerItem(
+        key=item.key,
+        revision=item.revision,
+        is_removed=item.is_removed,
+        content=zlib.compress(item.content) if item.content else b"",
+    )
+
+
+def read_peer_item(item: PeerItem) -> StoreItem:
+    """Return the item that a message carries."""
+    return StoreItem(
+        key=item.key,
+        revision=item.revision,
+        is_removed=item.is_removed,
+        content=zlib.decompress(item.content) if item.content else None,
+    )
--- a/foxtailway/platform/store.py
+++ b/foxtailway/platform/store.py
@@ -20,6 +20,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
+# Time that the answer to a watch may take beyond its wait, in seconds.
+WATCH_MARGIN_S = 1.2
 
 
 class StoreError(Exception):
@@ -128,7 +130,7 @@
             "after": str(after),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        return await self.call("kv-watch", query, wait_s + READ_TIMEOUT_S)
+        return await self.call("kv-watch", query, wait_s + WATCH_MARGIN_S)
 
     async def call(
         self, name: str, query: dict[str, str], timeout_s: float
--- a/foxtailway/platform/tests/test_feed.py
+++ b/foxtailway/platform/tests/test_feed.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import zlib
 from contextlib import suppress
 from random import Random
 from unittest import IsolatedAsyncioTestCase
@@ -11,8 +12,10 @@
 from foxtailway.platform.tests.documents import make_configuration, make_entry
 from foxtailway.platform.tests.store_stand_in import StoreStandIn
 from foxtailway.sidecar.http_message import Answer
+from foxtailway.sidecar.peer_message import PeerItem, PeerUpdate
 from foxtailway.sidecar.tests.support import make_log, wait_until
 from foxtailway.traffic.configuration import TrafficConfiguration
+from foxtailway.traffic.feeding import FeedRoles
 from foxtailway.traffic.membership import Membership
 
 DRAINING = {"state": "draining", "sequence": 9, "cold_remaining": "0ms"}
@@ -24,6 +27,12 @@
         self.log = make_log()
         self.versions: list[int] = []
         self.n_changes = 0
+        self.roles = FeedRoles(address="10.0.0.9")
+        self.updates: list[PeerUpdate] = []
+        self.update_handler = None
+
+    def send_update(self, update: PeerUpdate) -> None:
+        self.updates.append(update)
 
     def apply(self, configuration: TrafficConfiguration) -> None:
         self.versions.append(configuration.version)
@@ -34,7 +43,12 @@
 
 class StoreFeedTest(IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        for name in ("COALESCE_S", "FIRST_BACKOFF_S", "MAX_BACKOFF_S"):
+        for name in (
+            "COALESCE_S",
+            "FOLLOW_INTERVAL_S",
+            "FIRST_BACKOFF_S",
+            "MAX_BACKOFF_S",
+        ):
             patcher = patch.object(feed_module, name, 0.0)
             patcher.start()
             self.addCleanup(patcher.stop)
@@ -66,6 +80,50 @@
     def n_ready(self) -> int:
         return len(self.node.membership.list_ready("records"))
 
+    async def test_reader_passes_on_what_the_store_answered(self) -> None:
+        self.node.roles.readers = ("10.0.0.9",)
+        self.node.roles.followers = ("10.0.0.8",)
+        await self.start()
+        self.store.put("op/config", make_configuration(4))
+        self.store.put("op/config", make_configuration(5))
+        self.store.remove("servers/u-1")
+        await wait_until(lambda: self.n_ready == 4)
+        follower = StoreFeed(
+            client=self.client, node=RecordingNode(), random_source=Random(1)
+        )
+        follower.revision = self.node.updates[0].base_revision
+        for update in self.node.updates:
+            follower.receive(update)
+        self.assertEqual(follower.node.versions[-1], 5)
+        self.assertEqual(follower.revision, self.feed.revision)
+        self.assertTrue(follower.node.roles.is_fed(follower.loop.time()))
+
+    async def test_update_behind_a_gap_is_not_taken(self) -> None:
+        self.feed.revision = 5
+        self.feed.receive(PeerUpdate(base_revision=6, revision=9, age_ms=0, items=()))
+        self.assertEqual(self.feed.revision, 5)
+        self.assertFalse(self.node.roles.is_fed(self.feed.loop.time()))
+
+    async def test_change_that_is_known_is_not_taken_again(self) -> None:
+        self.feed.revision = 8
+        content = zlib.compress(make_configuration(4))
+        item = PeerItem(key="op/config", revision=8, is_removed=False, content=content)
+        self.feed.receive(
+            PeerUpdate(base_revision=6, revision=9, age_ms=0, items=(item,))
+        )
+        self.assertEqual(self.node.versions, [])
+        self.assertEqual(self.feed.revision, 9)
+
+    async def test_fed_node_leaves_the_store_alone_until_it_is_silent(self) -> None:
+        await self.start()
+        self.node.roles.confirm(self.feed.loop.time() + 1e6)
+        await wait_until(lambda: not self.feed.client.connection.exchange)
+        n_calls = len(self.store.calls)
+        await asyncio.sleep(0.05)
+        self.assertEqual(len(self.store.calls), n_calls)
+        self.node.roles.confirmed_at = float("-inf")
+        await wait_until(lambda: len(self.store.calls) > n_calls)
+
     async def test_all_pages_are_read(self) -> None:
         await self.start()
         self.assertEqual(self.n_ready, 5)
--- a/foxtailway/routing/rendezvous.py
+++ b/foxtailway/routing/rendezvous.py
@@ -6,7 +6,7 @@
 
 from foxtailway.model.host import Host
 
-__all__ = ["choose_host", "choose_hosts"]
+__all__ = ["choose_host", "choose_hosts", "choose_names"]
 
 
 def choose_host(key: str, hosts: Iterable[Host]) -> Host | None:
@@ -32,3 +32,12 @@
         reverse=True,
     )
     return tuple(ranked[:n_hosts])
+
+
+def choose_names(key: str, names: Iterable[str], n_names: int) -> tuple[str, ...]:
+    """Return the `n_names` names that rank first for a key."""
+    seed = xxh3_64_intdigest(key.encode())
+    ranked = sorted(
+        names, key=lambda name: xxh3_64_intdigest(name.encode(), seed), reverse=True
+    )
+    return tuple(ranked[:n_names])
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -1,6 +1,7 @@
 """Composition of one sidecar."""
 
 import asyncio
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from random import Random
@@ -13,7 +14,7 @@
 from foxtailway.sidecar.log import EventLog
 from foxtailway.sidecar.metrics import MetricsHandler, SidecarMetrics
 from foxtailway.sidecar.peer_listener import PeerListener
-from foxtailway.sidecar.peer_message import PeerCrash
+from foxtailway.sidecar.peer_message import PeerCrash, PeerUpdate
 from foxtailway.sidecar.peer_pool import PeerPool
 from foxtailway.sidecar.peer_stream import make_peer_codec
 from foxtailway.sidecar.ready import ReadyHandler
@@ -21,6 +22,7 @@
 from foxtailway.sidecar.upstream_pool import UpstreamPool
 from foxtailway.sidecar.upstream_runner import UpstreamRunner
 from foxtailway.traffic.configuration import TrafficConfiguration
+from foxtailway.traffic.feeding import FeedRoles
 from foxtailway.traffic.membership import Membership
 from foxtailway.traffic.selection import UpstreamSelector
 
@@ -81,6 +83,8 @@
         self.exit_stack = AsyncExitStack()
         self.is_stopping = False
         self.membership = Membership()
+        self.roles = FeedRoles(address=settings.upstream.address)
+        self.update_handler: Callable[[PeerUpdate], None] | None = None
         codec = make_peer_codec()
         self.selector = UpstreamSelector(
             zone=settings.zone,
@@ -107,6 +111,7 @@
             runner=self.runner,
             codec=codec,
             address=settings.peer_listener.address,
+            on_update=self.receive_update,
             log=log,
         )
         self.metrics = SidecarMetrics(read_gauges=self.read_gauges)
@@ -214,9 +219,23 @@
             retry_window_s=settings.retry_window_s,
         )
 
+    def receive_update(self, update: PeerUpdate) -> None:
+        """Hand an update of a reader to whoever follows the store."""
+        if self.update_handler is not None:
+            self.update_handler(update)
+
+    def send_update(self, update: PeerUpdate) -> None:
+        """Pass an update on to the nodes that this one feeds."""
+        if not self.is_stopping:
+            for address in self.roles.followers:
+                self.peers.send(address, update)
+
     def membership_changed(self) -> None:
-        """Drop what is known of upstreams that are gone."""
+        """Drop what is known of upstreams that are gone and choose readers."""
         upstreams = self.membership.upstreams
+        self.roles.update(
+            upstreams.values(), self.settings.zone, self.settings.zone_regions
+        )
         self.selector.retain(frozenset(upstreams))
         self.peers.retain(frozenset(item.address for item in upstreams.values()))
 
--- a/foxtailway/sidecar/peer_listener.py
+++ b/foxtailway/sidecar/peer_listener.py
@@ -1,6 +1,7 @@
 """Requests that other sidecars send for the upstream on this host."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from foxtailway.sidecar.call import CallRefusal, CallResult, UpstreamCall
@@ -14,6 +15,7 @@
     PeerPong,
     PeerRefusal,
     PeerRequest,
+    PeerUpdate,
 )
 from foxtailway.sidecar.peer_stream import PeerStream, StreamOwner
 from foxtailway.sidecar.upstream_runner import UpstreamRunner
@@ -36,6 +38,8 @@
         Codec of the streams.
     address : str
         Address of this host, named when it says goodbye.
+    on_update : callable
+        Called with each update of a reader.
     log : EventLog
         Receiver of events.
     """
@@ -46,8 +50,10 @@
         runner: UpstreamRunner,
         codec: MessagePlans,
         address: str,
+        on_update: Callable[[PeerUpdate], None],
         log: EventLog,
     ) -> None:
+        self.on_update = on_update
         self.log = log
         self.runner = runner
         self.codec = codec
@@ -88,6 +94,8 @@
                 task = self.streams.get(stream, {}).pop(message.call_id, None)
                 if task is not None:
                     task.cancel()
+            case PeerUpdate():
+                self.on_update(message)
             case PeerPing():
                 stream.send(PeerPong(sequence=message.sequence))
             case _:
--- a/foxtailway/sidecar/peer_message.py
+++ b/foxtailway/sidecar/peer_message.py
@@ -10,11 +10,13 @@
     "PeerCancel",
     "PeerCrash",
     "PeerGoodbye",
+    "PeerItem",
     "PeerLoad",
     "PeerPing",
     "PeerPong",
     "PeerRefusal",
     "PeerRequest",
+    "PeerUpdate",
 ]
 
 
@@ -177,6 +179,49 @@
     upstream_id: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerItem:
+    """Hold a changed key of the store.
+
+    Parameters
+    ----------
+    key : str
+        Key.
+    revision : int
+        Revision of the change.
+    is_removed : bool
+        Whether the key was removed.
+    content : bytes
+        Value, compressed with zlib; empty when removed or undecodable.
+    """
+
+    key: str
+    revision: int
+    is_removed: bool
+    content: bytes = field(repr=False)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerUpdate:
+    """Pass on what a reader learned from the store.
+
+    Parameters
+    ----------
+    base_revision, revision : int
+        The items are all changes behind the first up to the second revision,
+        but for versions of a configuration that a later item replaces.
+    age_ms : int
+        Time since the store was known to have nothing newer, in milliseconds.
+    items : tuple of PeerItem
+        Changes, in order.
+    """
+
+    base_revision: int
+    revision: int
+    age_ms: int
+    items: tuple[PeerItem, ...]
+
+
 PEER_MESSAGE_TYPES = (
     PeerRequest,
     PeerAnswer,
@@ -186,4 +231,5 @@
     PeerPong,
     PeerGoodbye,
     PeerCrash,
+    PeerUpdate,
 )
--- a/foxtailway/sidecar/peer_pool.py
+++ b/foxtailway/sidecar/peer_pool.py
@@ -116,6 +116,14 @@
         finally:
             calls.pop(call_id, None)
 
+    def send(self, message: object) -> None:
+        """Send a message on an open stream, or open one for the next message."""
+        stream = next(iter(self.streams), None)
+        if stream is not None:
+            stream.send(message)
+        elif self.blocked_until <= self.loop.time():
+            self.start_connecting()
+
     async def find_stream(self) -> PeerStream | None:
         """Return an open stream, or None when the peer cannot be reached."""
         now = self.loop.time()
@@ -276,6 +284,14 @@
 
     async def call(self, address: str, call: UpstreamCall) -> CallResult:
         """Send a call to the sidecar at an address and wait for its result."""
+        return await self.find_link(address).call(call)
+
+    def send(self, address: str, message: object) -> None:
+        """Send a message to the sidecar at an address, if it can be reached."""
+        self.find_link(address).send(message)
+
+    def find_link(self, address: str) -> PeerLink:
+        """Return the link to an address."""
         link = self.links.get(address)
         if link is None:
             link = PeerLink(
@@ -286,7 +302,7 @@
                 log=self.log,
             )
             self.links[address] = link
-        return await link.call(call)
+        return link
 
     def retain(self, addresses: frozenset[str]) -> None:
         """Close the links to hosts that are gone and on which nothing waits."""
--- a/foxtailway/sidecar/tests/test_upstream_runner.py
+++ b/foxtailway/sidecar/tests/test_upstream_runner.py
@@ -74,6 +74,17 @@
         self.assert_refused(result, Outcome.NOT_RUN, RefusalReason.OVERLOADED)
         self.assertTrue(result.is_offered)
 
+    async def test_replaced_upstream_is_not_asked_again_for_a_while(self) -> None:
+        script = replying(status="421 Misdirected Request")
+        async with ScriptedUpstream(script, replying()) as upstream:
+            runner = self.make_runner(upstream)
+            for is_offered in (True, False):
+                result = await self.run_call(runner)
+                self.assert_refused(result, Outcome.NOT_RUN, RefusalReason.NOT_READY)
+                self.assertEqual(result.is_offered, is_offered)
+            other = await self.run_call(runner, upstream_id="u-2")
+            self.assertIsInstance(other, UpstreamAnswer)
+
     async def test_reset_request_may_have_run(self) -> None:
         async with ScriptedUpstream(resetting()) as upstream:
             result = await self.run_call(self.make_runner(upstream))
--- a/foxtailway/sidecar/upstream_runner.py
+++ b/foxtailway/sidecar/upstream_runner.py
@@ -37,6 +37,10 @@
 MIN_REMAINING_S = 0.004
 TICK_S = 0.02
 DEFAULT_N_SLOTS = 8
+# Status of an upstream that is not the one a request names.
+MISDIRECTED = 421
+# Time for which requests that name a replaced upstream are not sent, in seconds.
+MISDIRECTED_S = 2.0
 
 
 class UpstreamRunner:
@@ -75,6 +79,7 @@
         self.guard = guard
         self.on_crash = on_crash
         self.examinations: set[asyncio.Task] = set()
+        self.misdirected: dict[str, float] = {}
         self.names = names
         self.pool = pool
         self.membership = membership
@@ -123,12 +128,24 @@
             self.queue.n_slots = max(1, upstream.n_slots)
         if self.membership.is_leaving(call.upstream_id):
             return RefusalReason.DRAINING
+        if self.is_replaced(call.upstream_id):
+            return RefusalReason.NOT_READY
         if self.guard.is_quarantined(call.method, call.target, call.body):
             return RefusalReason.QUARANTINED
         if call.deadline - self.loop.time() < MIN_REMAINING_S:
             return RefusalReason.EXPIRED
         return None
 
+    def is_replaced(self, upstream_id: str) -> bool:
+        """Whether another upstream answered of late at the address of this one."""
+        replaced_at = self.misdirected.get(upstream_id)
+        if replaced_at is None:
+            return False
+        if self.loop.time() - replaced_at < MISDIRECTED_S:
+            return True
+        del self.misdirected[upstream_id]
+        return False
+
     async def wait_for_slot(self, request: QueuedRequest) -> bool:
         """Wait for a slot; return False when the request is refused."""
         admitted = self.queue.offer(request, self.loop.time())
@@ -273,7 +290,18 @@
         self, call: UpstreamCall, reply: HttpReply, run_time_s: float
     ) -> CallResult:
         """Decide what a reply of the upstream means."""
-        if reply.find(self.names.not_run) is not None or reply.status == 421:
+        if reply.status == MISDIRECTED:
+            self.misdirected[call.upstream_id] = self.loop.time()
+            self.log.write(
+                "upstream_replaced", call.request_id, upstream=call.upstream_id
+            )
+            return CallRefusal(
+                outcome=Outcome.NOT_RUN,
+                reason=RefusalReason.NOT_READY,
+                is_offered=True,
+                load=self.report_load(),
+            )
+        if reply.find(self.names.not_run) is not None:
             return CallRefusal(
                 outcome=Outcome.NOT_RUN,
                 reason=RefusalReason.OVERLOADED,
