--- /dev/null
+++ b/foxtailway/sidecar/tests/test_peers.py
@@ -0,0 +1,166 @@
+import asyncio
+from contextlib import suppress
+from unittest import IsolatedAsyncioTestCase
+
+from foxtailway.common.clock import ManualClock
+from foxtailway.routing.outcome import Outcome, RefusalReason
+from foxtailway.sidecar.call import (
+    CallRefusal,
+    CallResult,
+    UpstreamAnswer,
+    UpstreamCall,
+)
+from foxtailway.sidecar.crash_guard import CrashGuard
+from foxtailway.sidecar.http_message import Answer
+from foxtailway.sidecar.peer_listener import PeerListener
+from foxtailway.sidecar.peer_message import PeerCrash, PeerUpdate
+from foxtailway.sidecar.peer_pool import LOST_AFTER_S, SUSPECT_AFTER_S, PeerPool
+from foxtailway.sidecar.peer_stream import make_peer_codec
+from foxtailway.sidecar.tests.support import make_call, make_log, wait_until
+from foxtailway.traffic.selection import LoadReport
+
+LOAD = LoadReport(n_busy=3, n_slots=4, run_time_s=0.05)
+
+
+class HeldRunner:
+    """Answer calls when told to."""
+
+    def __init__(self) -> None:
+        self.calls: list[UpstreamCall] = []
+        self.released = asyncio.Event()
+        self.n_cancelled = 0
+
+    async def run(self, call: UpstreamCall) -> CallResult:
+        self.calls.append(call)
+        try:
+            await self.released.wait()
+        except asyncio.CancelledError:
+            self.n_cancelled += 1
+            raise
+        return UpstreamAnswer(
+            answer=Answer(status=200, head=b"X-Seal: s\r\n", body=call.body),
+            run_time_s=0.02,
+            load=LOAD,
+        )
+
+
+class PeerTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.runner = HeldRunner()
+        self.updates: list[PeerUpdate] = []
+        self.guard = CrashGuard(host_id="host-1", clock=ManualClock())
+        codec = make_peer_codec()
+        self.listener = PeerListener(
+            runner=self.runner,
+            codec=codec,
+            address="127.0.0.1",
+            on_update=self.updates.append,
+            log=make_log(),
+        )
+        await self.listener.listen(port=0)
+        self.addCleanup(self.listener.close)
+        port = self.listener.server.sockets[0].getsockname()[1]
+        self.pool = PeerPool(port=port, codec=codec, guard=self.guard, log=make_log())
+        self.addCleanup(self.pool.close)
+
+    def start_call(self, **changes: object) -> asyncio.Task:
+        call = make_call(asyncio.get_running_loop().time(), **changes)
+        return asyncio.create_task(self.pool.call("127.0.0.1", call))
+
+    def assert_unknown(self, result: CallResult) -> None:
+        self.assertIsInstance(result, CallRefusal)
+        self.assertIs(result.outcome, Outcome.UNKNOWN)
+
+    @property
+    def link(self):
+        return self.pool.links["127.0.0.1"]
+
+    async def test_call_and_answer_cross_whole(self) -> None:
+        self.runner.released.set()
+        result = await self.start_call(body=b"\x00\xff", is_idempotent=False)
+        self.assertEqual(result.answer.body, b"\x00\xff")
+        self.assertEqual(result.load, LOAD)
+        self.assertFalse(self.runner.calls[0].is_idempotent)
+        self.assertEqual(
+            self.runner.calls[0].head, b"Host: a.example\r\nX-Request-Id: r-1\r\n"
+        )
+
+    async def test_deadline_is_counted_down(self) -> None:
+        self.runner.released.set()
+        now = asyncio.get_running_loop().time()
+        await self.start_call(deadline=now + 5.0)
+        self.assertLessEqual(self.runner.calls[0].deadline, now + 5.1)
+
+    async def test_caller_that_leaves_cancels_at_the_other_end(self) -> None:
+        task = self.start_call()
+        await wait_until(lambda: bool(self.runner.calls))
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+        await wait_until(lambda: self.runner.n_cancelled == 1)
+
+    async def test_lost_stream_leaves_the_outcome_unknown(self) -> None:
+        task = self.start_call()
+        await wait_until(lambda: bool(self.runner.calls))
+        next(iter(self.link.streams)).close()
+        self.assert_unknown(await task)
+
+    async def test_unreachable_peer_did_not_run_the_request(self) -> None:
+        self.listener.server.close()
+        result = await self.start_call()
+        self.assertEqual(
+            (result.outcome, result.reason),
+            (Outcome.NOT_RUN, RefusalReason.NO_ENDPOINT),
+        )
+
+    async def test_peer_that_says_goodbye_gets_no_new_request(self) -> None:
+        task = self.start_call()
+        await wait_until(lambda: bool(self.runner.calls))
+        self.listener.say_goodbye()
+        now = asyncio.get_running_loop().time
+        await wait_until(lambda: self.link.blocked_until > now())
+        refused = await self.start_call()
+        self.assertIs(refused.outcome, Outcome.NOT_RUN)
+        self.runner.released.set()
+        self.assertIsInstance(await task, UpstreamAnswer)
+
+    async def test_silent_peer_gives_up_only_what_may_run_again(self) -> None:
+        repeatable = self.start_call()
+        once = self.start_call(is_idempotent=False)
+        await wait_until(lambda: len(self.runner.calls) == 2)
+        self.silence(SUSPECT_AFTER_S + 0.1)
+        self.link.probe()
+        self.assert_unknown(await repeatable)
+        self.assertFalse(once.done())
+        self.silence(LOST_AFTER_S + 0.1)
+        self.link.probe()
+        self.assert_unknown(await once)
+
+    def silence(self, duration_s: float) -> None:
+        """Let the last sign of life lie some time back."""
+        for stream, calls in self.link.streams.items():
+            stream.heard_at -= duration_s
+            for pending in calls.values():
+                pending.sent_at -= duration_s
+
+    async def test_crash_is_told_to_all_callers(self) -> None:
+        self.runner.released.set()
+        await self.start_call()
+        for upstream_id in ("u-1", "u-2"):
+            self.listener.broadcast(PeerCrash(fingerprint="f", upstream_id=upstream_id))
+        suspects = self.guard.containment.suspects
+        await wait_until(lambda: "f" in suspects)
+        await wait_until(lambda: len(suspects["f"].crashed_hosts) == 2)
+
+    async def test_update_reaches_a_peer_without_calls(self) -> None:
+        update = PeerUpdate(base_revision=1, revision=2, age_ms=0, items=())
+        self.pool.send("127.0.0.1", update)
+        await wait_until(lambda: bool(self.link.streams))
+        self.pool.send("127.0.0.1", update)
+        await wait_until(lambda: self.updates == [update])
+
+    async def test_bytes_that_are_no_message_end_the_stream(self) -> None:
+        task = self.start_call()
+        await wait_until(lambda: bool(self.listener.streams))
+        next(iter(self.listener.streams)).transport.write(b"\xc1garbage")
+        self.assert_unknown(await task)
--- /dev/null
+++ b/foxtailway/sidecar/tests/test_whole_path.py
@@ -0,0 +1,124 @@
+import asyncio
+from random import Random
+from unittest import IsolatedAsyncioTestCase
+
+from foxtailway.sidecar.node import SidecarNode, StopTimes
+from foxtailway.sidecar.settings import Endpoint, SidecarSettings
+from foxtailway.sidecar.tests.support import (
+    NAMES,
+    ScriptedUpstream,
+    holding,
+    make_log,
+    replying,
+    wait_until,
+)
+from foxtailway.traffic.configuration import ClientLimits, TrafficConfiguration
+from foxtailway.traffic.tests.builders import make_route, make_upstream
+
+REQUEST = (
+    b"GET /x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r-1\r\n"
+    b"X-Remaining-Ms: 5000\r\n\r\n"
+)
+STOP_TIMES = StopTimes(goodbye_s=0.0, close_s=0.0, end_s=5.0)
+
+
+def make_settings(address: str, upstream: Endpoint) -> SidecarSettings:
+    """Return settings with free ports."""
+    free = Endpoint(address=address, port=0)
+    return SidecarSettings(
+        host_id=address,
+        zone="zone-a",
+        service="desk",
+        zone_regions={"zone-a": "east"},
+        client_listener=free,
+        peer_listener=free,
+        ready_listener=free,
+        upstream=upstream,
+        store=free,
+        grace_s=6.0,
+        retry_ratio=0.2,
+        retry_slack=50.0,
+        retry_window_s=10.0,
+    )
+
+
+class WholePathTest(IsolatedAsyncioTestCase):
+    """Two sidecars on two loopback addresses and one upstream."""
+
+    async def start(self, upstream: ScriptedUpstream) -> None:
+        beside = Endpoint(address="127.0.0.2", port=upstream.port)
+        self.entry = await self.start_node(
+            "127.0.0.1", Endpoint(address="127.0.0.1", port=1)
+        )
+        self.exit = await self.start_node("127.0.0.2", beside)
+        self.exit.runner.pool.address = "127.0.0.1"
+        port = self.exit.peer_listener.server.sockets[0].getsockname()[1]
+        self.entry.peers.port = port
+        configuration = TrafficConfiguration(
+            version=1,
+            routes=(make_route(timeout_s=5.0, target_latency_s=5.0),),
+            limits=ClientLimits(),
+        )
+        for node in (self.entry, self.exit):
+            node.membership.put(make_upstream("u-1", address="127.0.0.2"))
+            node.apply(configuration)
+
+    async def start_node(self, address: str, upstream: Endpoint) -> SidecarNode:
+        node = SidecarNode(
+            settings=make_settings(address, upstream),
+            names=NAMES,
+            ready_path="/ready",
+            log=make_log(),
+            random_source=Random(1),
+        )
+        await node.start()
+        self.addAsyncCleanup(node.exit_stack.aclose)
+        return node
+
+    async def send(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        server = self.entry.client_listener.server
+        port = server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        self.addCleanup(writer.close)
+        writer.write(REQUEST)
+        return reader, writer
+
+    async def test_request_reaches_the_upstream_and_its_answer_the_client(
+        self,
+    ) -> None:
+        async with ScriptedUpstream(replying(body="whole")) as upstream:
+            await self.start(upstream)
+            reader, _ = await self.send()
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.assertIn(b"200 OK", head)
+            self.assertIn(b"X-Seal: s", head)
+            self.assertEqual(await reader.readexactly(5), b"whole")
+            self.assertIn("x-caller: desk", upstream.requests[0])
+
+    async def test_stop_of_the_entry_cuts_off_nothing(self) -> None:
+        await self.check_stop(lambda: self.entry)
+
+    async def test_stop_beside_the_upstream_cuts_off_nothing(self) -> None:
+        await self.check_stop(lambda: self.exit)
+
+    async def check_stop(self, find_node) -> None:
+        released = asyncio.Event()
+        async with ScriptedUpstream(holding(released)) as upstream:
+            await self.start(upstream)
+            reader, _ = await self.send()
+            await wait_until(lambda: bool(upstream.requests))
+            stopping = asyncio.create_task(find_node().stop(STOP_TIMES))
+            await wait_until(lambda: find_node().runner.is_stopping)
+            self.assertFalse(find_node().is_ready())
+            released.set()
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.assertIn(b"200 OK", head)
+            await stopping
+
+    async def test_client_that_leaves_frees_the_slot(self) -> None:
+        async with ScriptedUpstream(holding(asyncio.Event())) as upstream:
+            await self.start(upstream)
+            _, writer = await self.send()
+            await wait_until(lambda: bool(upstream.requests))
+            writer.close()
+            await wait_until(lambda: self.exit.runner.n_busy == 0)
