Never call a request not run after an attempt that may have run

Cause: found in review. A repeat of an idempotent request that was refused ended as 503, though the attempt before it was lost and may have run.

--- a/foxtailway/sidecar/dispatcher.py
+++ b/foxtailway/sidecar/dispatcher.py
@@ -1,6 +1,7 @@
 """Carriage of clients' requests to chosen upstreams."""
 
 import asyncio
+from dataclasses import dataclass
 from random import Random
 
 from foxtailway.routing.outcome import Outcome, RefusalReason
@@ -41,6 +42,7 @@
 ANSWER_UNAVAILABLE = 503
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
 class PlannedRequest:
     """Hold a request, its route and its deadlines.
 
@@ -57,20 +59,11 @@
         route gives up, in seconds.
     """
 
-    def __init__(
-        self,
-        *,
-        request: ClientRequest,
-        route: TrafficRoute,
-        service: str,
-        due_at: float,
-        deadline: float,
-    ) -> None:
-        self.request = request
-        self.route = route
-        self.service = service
-        self.due_at = due_at
-        self.deadline = deadline
+    request: ClientRequest
+    route: TrafficRoute
+    service: str
+    due_at: float
+    deadline: float
 
 
 class RequestDispatcher(RequestHandler):
@@ -222,7 +215,10 @@
         )
 
     async def carry(self, planned: PlannedRequest) -> CallResult:
-        """Offer a request until it ran, may have run or is given up."""
+        """Offer a request until it ran, may have run or is given up.
+
+        Once an attempt may have run, no later refusal makes the whole not run.
+        """
         budget = self.find_budget(planned.service)
         budget.record_request(self.loop.time())
         head = b"%b%b: %b\r\n" % (
@@ -233,11 +229,14 @@
         refused: set[str] = set()
         n_runs = 0
         result: CallResult = refuse(RefusalReason.NO_ENDPOINT)
+        maybe_run: CallResult | None = None
         for _ in range(N_OFFERS):
             view = self.choose(planned, frozenset(refused))
             if view is None:
-                return result
+                break
             result = await self.offer(planned, view, head)
+            if may_have_run(result):
+                maybe_run = result
             if isinstance(result, UpstreamAnswer):
                 if not self.is_worth_repeating(planned, result):
                     return result
@@ -247,10 +246,10 @@
             if isinstance(result, UpstreamAnswer) or result.is_offered:
                 n_runs += 1
                 if not self.may_repeat(planned, n_runs, budget):
-                    return result
+                    break
             if self.loop.time() >= planned.deadline:
-                return result
-        return result
+                break
+        return result if maybe_run is None else maybe_run
 
     def choose(
         self, planned: PlannedRequest, refused: frozenset[str]
@@ -407,6 +406,11 @@
     return CallRefusal(outcome=Outcome.NOT_RUN, reason=reason)
 
 
+def may_have_run(result: CallResult) -> bool:
+    """Whether an upstream ran the request of a result, or may have."""
+    return isinstance(result, UpstreamAnswer) or result.outcome is Outcome.UNKNOWN
+
+
 def choose_status(refusal: CallRefusal) -> int:
     """Return the HTTP status of a refusal.
 
--- a/foxtailway/sidecar/tests/test_dispatcher.py
+++ b/foxtailway/sidecar/tests/test_dispatcher.py
@@ -131,6 +131,11 @@
         self.configure()
         self.assertEqual((await self.handle(LOST, DONE)).status, 200)
 
+    async def test_refused_repeat_does_not_say_that_nothing_ran(self) -> None:
+        self.configure(max_attempts=3)
+        self.assertEqual((await self.handle(LOST, BUSY, BUSY)).status, 502)
+        self.assertEqual((await self.handle(FAILED, BUSY, BUSY)).status, 500)
+
     async def test_failure_of_an_upstream_is_repeated_only_if_idempotent(self) -> None:
         self.configure()
         self.assertEqual((await self.handle(FAILED, DONE)).status, 200)
