--- a/foxtailway/platform/tests/test_feed.py
+++ b/foxtailway/platform/tests/test_feed.py
@@ -7,13 +7,14 @@
 from unittest.mock import patch
 
 from foxtailway.platform import feed as feed_module
+from foxtailway.platform import store as store_module
 from foxtailway.platform.feed import StoreFeed
 from foxtailway.platform.store import StoreClient
 from foxtailway.platform.tests.documents import make_configuration, make_entry
 from foxtailway.platform.tests.store_stand_in import StoreStandIn
 from foxtailway.sidecar.http_message import Answer
 from foxtailway.sidecar.peer_message import PeerItem, PeerUpdate
-from foxtailway.sidecar.tests.support import make_log, wait_until
+from foxtailway.sidecar.tests.support import PATIENCE_S, make_log, wait_until
 from foxtailway.traffic.configuration import TrafficConfiguration
 from foxtailway.traffic.feeding import FeedRoles
 from foxtailway.traffic.membership import Membership
@@ -52,6 +53,10 @@
             patcher = patch.object(feed_module, name, 0.0)
             patcher.start()
             self.addCleanup(patcher.stop)
+        for name in ("CONNECT_TIMEOUT_S", "READ_TIMEOUT_S", "WATCH_MARGIN_S"):
+            patience = patch.object(store_module, name, PATIENCE_S)
+            patience.start()
+            self.addCleanup(patience.stop)
         self.store = StoreStandIn()
         endpoint = await self.store.start()
         self.addCleanup(self.store.listener.close)
--- a/foxtailway/sidecar/tests/support.py
+++ b/foxtailway/sidecar/tests/support.py
@@ -19,6 +19,8 @@
     caller=b"x-caller",
 )
 
+# Longer than any stall of a busy machine, in seconds.
+PATIENCE_S = 60.0
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter, str], Awaitable[None]]
@@ -53,7 +55,7 @@
         "target": "/x",
         "host": "a.example",
         "request_id": "r-1",
-        "remaining_ms": 600,
+        "remaining_ms": int(PATIENCE_S * 1000),
         "head": b"Host: a.example\r\nX-Request-Id: r-1\r\n",
         "body": b"",
     }
@@ -68,8 +70,8 @@
         "is_idempotent": True,
         "priority": 1,
         "can_wait": True,
-        "due_at": now + 2.0,
-        "deadline": now + 5.0,
+        "due_at": now + PATIENCE_S / 2,
+        "deadline": now + PATIENCE_S,
         "method": "GET",
         "target": "/x",
         "request_id": "r-1",
--- a/foxtailway/sidecar/tests/test_dispatcher.py
+++ b/foxtailway/sidecar/tests/test_dispatcher.py
@@ -15,7 +15,12 @@
 from foxtailway.sidecar.dispatcher import RequestDispatcher
 from foxtailway.sidecar.http_message import Answer
 from foxtailway.sidecar.metrics import SidecarMetrics
-from foxtailway.sidecar.tests.support import NAMES, make_client_request, make_log
+from foxtailway.sidecar.tests.support import (
+    NAMES,
+    PATIENCE_S,
+    make_client_request,
+    make_log,
+)
 from foxtailway.traffic.configuration import ClientLimits, TrafficConfiguration
 from foxtailway.traffic.membership import Membership
 from foxtailway.traffic.selection import UpstreamSelector
@@ -71,6 +76,8 @@
         )
 
     def configure(self, **changes: object) -> None:
+        times = {"timeout_s": PATIENCE_S, "target_latency_s": PATIENCE_S / 2}
+        changes = times | changes
         self.dispatcher.apply(
             TrafficConfiguration(
                 version=1, routes=(make_route(**changes),), limits=ClientLimits()
@@ -96,18 +103,19 @@
         self.assertIn(b"x-caller: desk\r\n", self.peers.calls[0].head)
 
     async def test_time_left_is_the_least_of_client_and_route(self) -> None:
-        self.configure(timeout_s=0.3)
-        await self.handle(DONE, remaining_ms=10_000)
-        left_s = self.peers.calls[0].deadline - asyncio.get_running_loop().time()
-        self.assertLessEqual(left_s, 0.3)
+        for timeout_s, remaining_ms in ((3.0, 10_000), (10.0, 3_000)):
+            self.configure(timeout_s=timeout_s)
+            await self.handle(DONE, remaining_ms=remaining_ms)
+            now = asyncio.get_running_loop().time()
+            self.assertLessEqual(self.peers.calls[-1].deadline - now, 3.0)
 
     async def test_request_that_outlasts_the_process_is_refused_at_once(self) -> None:
-        self.configure(timeout_s=2.0)
-        self.dispatcher.ends_at = asyncio.get_running_loop().time() + 1.0
-        answer = await self.handle(remaining_ms=1_500)
+        self.configure()
+        self.dispatcher.ends_at = asyncio.get_running_loop().time() + PATIENCE_S / 2
+        answer = await self.handle()
         self.assertEqual(answer.status, 503)
         self.assertEqual(self.peers.calls, [])
-        self.assertEqual((await self.handle(DONE, remaining_ms=300)).status, 200)
+        self.assertEqual((await self.handle(DONE, remaining_ms=3_000)).status, 200)
 
     async def test_busy_upstreams_are_passed_over(self) -> None:
         self.configure(is_idempotent=False, max_attempts=1)
--- a/foxtailway/sidecar/tests/test_peers.py
+++ b/foxtailway/sidecar/tests/test_peers.py
@@ -1,9 +1,11 @@
 import asyncio
 from contextlib import suppress
 from unittest import IsolatedAsyncioTestCase
+from unittest.mock import patch
 
 from foxtailway.common.clock import ManualClock
 from foxtailway.routing.outcome import Outcome, RefusalReason
+from foxtailway.sidecar import peer_pool
 from foxtailway.sidecar.call import (
     CallRefusal,
     CallResult,
@@ -16,7 +18,7 @@
 from foxtailway.sidecar.peer_message import PeerCrash, PeerUpdate
 from foxtailway.sidecar.peer_pool import LOST_AFTER_S, SUSPECT_AFTER_S, PeerPool
 from foxtailway.sidecar.peer_stream import make_peer_codec
-from foxtailway.sidecar.tests.support import make_call, make_log, wait_until
+from foxtailway.sidecar.tests.support import PATIENCE_S, make_call, make_log, wait_until
 from foxtailway.traffic.selection import LoadReport
 
 LOAD = LoadReport(n_busy=3, n_slots=4, run_time_s=0.05)
@@ -45,6 +47,12 @@
 
 
 class PeerTest(IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        for name in ("CONNECT_TIMEOUT_S", "PROBE_INTERVAL_S"):
+            patience = patch.object(peer_pool, name, PATIENCE_S)
+            patience.start()
+            self.addCleanup(patience.stop)
+
     async def asyncSetUp(self) -> None:
         self.runner = HeldRunner()
         self.updates: list[PeerUpdate] = []
--- a/foxtailway/sidecar/tests/test_upstream_runner.py
+++ b/foxtailway/sidecar/tests/test_upstream_runner.py
@@ -1,13 +1,16 @@
 import asyncio
 from contextlib import suppress
 from unittest import IsolatedAsyncioTestCase
+from unittest.mock import patch
 
 from foxtailway.common.clock import ManualClock
 from foxtailway.routing.outcome import Outcome, RefusalReason
+from foxtailway.sidecar import upstream_pool
 from foxtailway.sidecar.call import CallRefusal, CallResult, UpstreamAnswer
 from foxtailway.sidecar.crash_guard import CrashGuard
 from foxtailway.sidecar.tests.support import (
     NAMES,
+    PATIENCE_S,
     ScriptedUpstream,
     holding,
     make_call,
@@ -24,6 +27,11 @@
 
 
 class UpstreamRunnerTest(IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        patience = patch.object(upstream_pool, "CONNECT_TIMEOUT_S", PATIENCE_S)
+        patience.start()
+        self.addCleanup(patience.stop)
+
     def make_runner(self, upstream: ScriptedUpstream) -> UpstreamRunner:
         self.membership = Membership()
         self.crashes: list[str] = []
@@ -163,7 +171,7 @@
     async def test_silent_upstream_frees_its_slot_after_the_deadline(self) -> None:
         async with ScriptedUpstream(holding(asyncio.Event())) as upstream:
             runner = self.make_runner(upstream)
-            result = await self.run_call(runner, deadline=runner.loop.time() + 0.02)
+            result = await self.run_call(runner, deadline=runner.loop.time() + 1.0)
             await asyncio.sleep(0)
             self.assertEqual(runner.n_busy, 0)
         self.assert_refused(result, Outcome.UNKNOWN, RefusalReason.EXPIRED)
--- a/foxtailway/sidecar/tests/test_whole_path.py
+++ b/foxtailway/sidecar/tests/test_whole_path.py
@@ -1,11 +1,14 @@
 import asyncio
 from random import Random
 from unittest import IsolatedAsyncioTestCase
+from unittest.mock import patch
 
+from foxtailway.sidecar import peer_pool
 from foxtailway.sidecar.node import SidecarNode, StopTimes
 from foxtailway.sidecar.settings import Endpoint, SidecarSettings
 from foxtailway.sidecar.tests.support import (
     NAMES,
+    PATIENCE_S,
     ScriptedUpstream,
     holding,
     make_log,
@@ -17,9 +20,9 @@
 
 REQUEST = (
     b"GET /x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r-1\r\n"
-    b"X-Remaining-Ms: 5000\r\n\r\n"
+    b"X-Remaining-Ms: 60000\r\n\r\n"
 )
-STOP_TIMES = StopTimes(goodbye_s=0.0, close_s=0.0, end_s=5.0)
+STOP_TIMES = StopTimes(goodbye_s=0.0, close_s=0.0, end_s=2 * PATIENCE_S)
 
 
 def make_settings(address: str, upstream: Endpoint) -> SidecarSettings:
@@ -45,6 +48,12 @@
 class WholePathTest(IsolatedAsyncioTestCase):
     """Two sidecars on two loopback addresses and one upstream."""
 
+    def setUp(self) -> None:
+        for name in ("CONNECT_TIMEOUT_S", "PROBE_INTERVAL_S"):
+            patience = patch.object(peer_pool, name, PATIENCE_S)
+            patience.start()
+            self.addCleanup(patience.stop)
+
     async def start(self, upstream: ScriptedUpstream) -> None:
         beside = Endpoint(address="127.0.0.2", port=upstream.port)
         self.entry = await self.start_node(
@@ -56,7 +65,7 @@
         self.entry.peers.port = port
         configuration = TrafficConfiguration(
             version=1,
-            routes=(make_route(timeout_s=5.0, target_latency_s=5.0),),
+            routes=(make_route(timeout_s=PATIENCE_S, target_latency_s=PATIENCE_S),),
             limits=ClientLimits(),
         )
         for node in (self.entry, self.exit):
