Ignore a store's answer that an update overtook; one type for load reports

Cause: found in review. While a node waited for its own watch, an update of the region's reader could bring newer changes; the answer to the watch was then taken as well, so that a removal undid a later registration until the entry changed again (test_answer_that_an_update_overtook_undoes_nothing: 4 ready upstreams instead of 5 before).

--- a/foxtailway/platform/feed.py
+++ b/foxtailway/platform/feed.py
@@ -84,6 +84,7 @@
             except HistoryLostError as error:
                 self.node.log.write("store_history_lost", error=error)
                 self.revision = None
+                await asyncio.sleep(FIRST_BACKOFF_S)
             except StoreError as error:
                 await self.back_off(error)
 
@@ -147,13 +148,15 @@
         page = await self.client.watch(ALL_KEYS, self.revision, wait_s)
         self.called_at = self.loop.time()
         self.answered()
+        # An update of a reader may have come meanwhile.
         base_revision = self.revision
-        self.revision = max(self.revision, page.revision)
-        self.take(page.items)
+        items = [item for item in page.items if item.revision > base_revision]
+        self.revision = max(base_revision, page.revision)
+        self.take(items)
         age_s = read_boot_time() - asked_at
         if not page.items:
             age_s = max(0.0, age_s - wait_s)
-        self.pass_on(base_revision, page.items, age_s)
+        self.pass_on(base_revision, items, age_s)
         if 0 < len(page.items) < N_CHANGES_OF_BACKLOG:
             await asyncio.sleep(COALESCE_S)
 
--- a/foxtailway/platform/tests/test_feed.py
+++ b/foxtailway/platform/tests/test_feed.py
@@ -9,7 +9,7 @@
 from foxtailway.platform import feed as feed_module
 from foxtailway.platform import store as store_module
 from foxtailway.platform.feed import StoreFeed
-from foxtailway.platform.store import StoreClient
+from foxtailway.platform.store import StoreClient, StoreItem, StorePage
 from foxtailway.platform.tests.documents import make_configuration, make_entry
 from foxtailway.platform.tests.store_stand_in import StoreStandIn
 from foxtailway.sidecar.http_message import Answer
@@ -119,6 +119,29 @@
         self.assertEqual(self.node.versions, [])
         self.assertEqual(self.feed.revision, 9)
 
+    async def test_answer_that_an_update_overtook_undoes_nothing(self) -> None:
+        await self.start()
+        removed = StoreItem(
+            key="servers/u-1", revision=90, content=None, is_removed=True
+        )
+        overtaken = StorePage(items=(removed,), revision=90, has_more=False)
+
+        async def watch(_prefix: str, _after: int, _wait_s: float) -> StorePage:
+            content = zlib.compress(make_entry())
+            item = PeerItem(
+                key="servers/u-1", revision=95, is_removed=False, content=content
+            )
+            base = self.feed.revision
+            self.feed.receive(
+                PeerUpdate(base_revision=base, revision=95, age_ms=0, items=(item,))
+            )
+            return overtaken
+
+        self.client.watch = watch
+        await self.feed.watch_once()
+        self.assertEqual(self.n_ready, 5)
+        self.assertEqual(self.feed.revision, 95)
+
     async def test_fed_node_leaves_the_store_alone_until_it_is_silent(self) -> None:
         await self.start()
         self.node.roles.confirm(self.feed.loop.time() + 1e6)
--- a/foxtailway/sidecar/peer_listener.py
+++ b/foxtailway/sidecar/peer_listener.py
@@ -10,7 +10,6 @@
     PeerAnswer,
     PeerCancel,
     PeerGoodbye,
-    PeerLoad,
     PeerPing,
     PeerPong,
     PeerRefusal,
@@ -19,7 +18,6 @@
 )
 from foxtailway.sidecar.peer_stream import PeerStream, StreamOwner
 from foxtailway.sidecar.upstream_runner import UpstreamRunner
-from foxtailway.traffic.selection import LoadReport
 from foxtailway.transport.message_plan import MessagePlans
 
 __all__ = ["PeerListener"]
@@ -156,7 +154,7 @@
             outcome=result.outcome,
             reason=result.reason,
             is_offered=result.is_offered,
-            load=make_load(result.load),
+            load=result.load,
         )
     return PeerAnswer(
         call_id=call_id,
@@ -164,16 +162,5 @@
         head=result.answer.head,
         body=result.answer.body,
         run_time_us=int(result.run_time_s * 1e6),
-        load=make_load(result.load),
-    )
-
-
-def make_load(load: LoadReport | None) -> PeerLoad | None:
-    """Return the message that carries a report of load."""
-    if load is None:
-        return None
-    return PeerLoad(
-        n_busy=load.n_busy,
-        n_slots=load.n_slots,
-        run_time_us=int(load.run_time_s * 1e6),
+        load=result.load,
     )
--- a/foxtailway/sidecar/peer_message.py
+++ b/foxtailway/sidecar/peer_message.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from foxtailway.routing.outcome import Outcome, RefusalReason
+from foxtailway.traffic.selection import LoadReport
 
 __all__ = [
     "PEER_MESSAGE_TYPES",
@@ -11,7 +12,6 @@
     "PeerCrash",
     "PeerGoodbye",
     "PeerItem",
-    "PeerLoad",
     "PeerPing",
     "PeerPong",
     "PeerRefusal",
@@ -20,25 +20,6 @@
 ]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PeerLoad:
-    """Tell how busy the upstream beside the sender is.
-
-    Parameters
-    ----------
-    n_busy : int
-        Requests that run or wait.
-    n_slots : int
-        Requests that run at once.
-    run_time_us : int
-        Mean run time in microseconds.
-    """
-
-    n_busy: int
-    n_slots: int
-    run_time_us: int
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PeerRequest:
     """Ask the sidecar beside an upstream to run a request.
@@ -98,7 +79,7 @@
         End-to-end header lines and whole body.
     run_time_us : int
         Time that the upstream took, in microseconds.
-    load : PeerLoad or None
+    load : LoadReport or None
         Load of the upstream.
     """
 
@@ -107,7 +88,7 @@
     head: bytes = field(repr=False)
     body: bytes = field(repr=False)
     run_time_us: int
-    load: PeerLoad | None
+    load: LoadReport | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -124,7 +105,7 @@
         Reason of the refusal.
     is_offered : bool
         Whether the request reached the upstream.
-    load : PeerLoad or None
+    load : LoadReport or None
         Load of the upstream, if it is known.
     """
 
@@ -132,7 +113,7 @@
     outcome: Outcome
     reason: RefusalReason
     is_offered: bool
-    load: PeerLoad | None
+    load: LoadReport | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/foxtailway/sidecar/peer_pool.py
+++ b/foxtailway/sidecar/peer_pool.py
@@ -19,14 +19,12 @@
     PeerCancel,
     PeerCrash,
     PeerGoodbye,
-    PeerLoad,
     PeerPing,
     PeerPong,
     PeerRefusal,
     PeerRequest,
 )
 from foxtailway.sidecar.peer_stream import PeerStream, StreamOwner
-from foxtailway.traffic.selection import LoadReport
 from foxtailway.transport.message_plan import MessagePlans
 
 __all__ = ["PeerPool"]
@@ -339,25 +337,15 @@
 
 def read_result(message: PeerAnswer | PeerRefusal) -> CallResult:
     """Return the result that a message carries."""
-    load = read_load(message.load)
     if isinstance(message, PeerAnswer):
         return UpstreamAnswer(
             answer=Answer(status=message.status, head=message.head, body=message.body),
             run_time_s=message.run_time_us / 1e6,
-            load=load,
+            load=message.load,
         )
     return CallRefusal(
         outcome=message.outcome,
         reason=message.reason,
         is_offered=message.is_offered,
-        load=load,
-    )
-
-
-def read_load(load: PeerLoad | None) -> LoadReport | None:
-    """Return the report that a message carries."""
-    if load is None:
-        return None
-    return LoadReport(
-        n_busy=load.n_busy, n_slots=load.n_slots, run_time_s=load.run_time_us / 1e6
+        load=message.load,
     )
--- a/foxtailway/transport/__init__.py
+++ b/foxtailway/transport/__init__.py
@@ -1,7 +1,6 @@
 """Typed message streams between nodes."""
 
-from importlib import import_module
-from typing import Any
+from foxtailway.common.lazy_import import make_getattr
 
 # Modules load when a name is first used, so that a process pays for what it needs.
 MODULE_BY_NAME = {
@@ -15,11 +14,4 @@
 }
 
 __all__ = sorted(MODULE_BY_NAME)
-
-
-def __getattr__(name: str) -> Any:
-    """Return a public name from the module that defines it."""
-    module_name = MODULE_BY_NAME.get(name)
-    if module_name is None:
-        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    return getattr(import_module(module_name), name)
+__getattr__ = make_getattr(__name__, MODULE_BY_NAME)
