--- a/foxtailway/sidecar/dispatcher.py
+++ b/foxtailway/sidecar/dispatcher.py
@@ -32,12 +32,16 @@
 # Time a caller is asked to stay away, in seconds.
 RETRY_AFTER_OVERLOADED_S = 0.1
 RETRY_AFTER_UNAVAILABLE_S = 0.3
-STATUSES = {
+# Statuses of refusals that did not run, beside 503, and of those that may have
+# run, beside 502.
+NOT_RUN_STATUSES = {
     RefusalReason.NO_ROUTE: 404,
     RefusalReason.MALFORMED: 400,
 }
 UNKNOWN_STATUSES = {RefusalReason.EXPIRED: 504}
 LOWEST_FAILURE_STATUS = 500
+# Failures of an upstream that another one may not share; 504 leaves no time.
+REPEATABLE_STATUSES = frozenset({500, 502, 503})
 ANSWER_BAD_GATEWAY = 502
 ANSWER_UNAVAILABLE = 503
 
@@ -317,7 +321,7 @@
         if isinstance(result, UpstreamAnswer):
             request = planned.request
             self.guard.record_success(request.method, request.target, request.body)
-            if result.answer.status < 500:
+            if result.answer.status < LOWEST_FAILURE_STATUS:
                 self.selector.record_run(
                     view, planned.route.name, result.run_time_s, now
                 )
@@ -337,7 +341,9 @@
         self, planned: PlannedRequest, result: UpstreamAnswer
     ) -> bool:
         """Whether an upstream's own failure may be answered by another one."""
-        return planned.route.is_idempotent and result.answer.status in (500, 502, 503)
+        return (
+            planned.route.is_idempotent and result.answer.status in REPEATABLE_STATUSES
+        )
 
     def may_repeat(
         self, planned: PlannedRequest, n_runs: int, budget: RetryBudget
@@ -417,7 +423,7 @@
     Only 503 promises that the request did not run.
     """
     if refusal.outcome is Outcome.NOT_RUN:
-        return STATUSES.get(refusal.reason, ANSWER_UNAVAILABLE)
+        return NOT_RUN_STATUSES.get(refusal.reason, ANSWER_UNAVAILABLE)
     return UNKNOWN_STATUSES.get(refusal.reason, ANSWER_BAD_GATEWAY)
 
 
--- a/foxtailway/sidecar/http_listener.py
+++ b/foxtailway/sidecar/http_listener.py
@@ -97,9 +97,7 @@
         n_completed = self.n_completed
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.reject(ANSWER_BAD_REQUEST)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self.reject(ANSWER_BAD_REQUEST)
         if not self.is_head_complete and self.n_completed == n_completed:
             self.n_header_bytes += len(data)
--- a/foxtailway/traffic/selection.py
+++ b/foxtailway/traffic/selection.py
@@ -23,12 +23,22 @@
 FORGET_S = 1.5
 # Age after which a report of load says nothing, in seconds.
 REPORT_AGE_S = 1.0
+# Weights of a new sample in the averages of an upstream, a route and failures.
 GAIN = 0.2
+ROUTE_GAIN = 0.05
 FAILURE_GAIN = 0.1
 # Time for which a peer that could not be reached is passed over, in seconds.
 UNREACHABLE_S = 0.5
+# Run time assumed before any was measured, in seconds.
 INITIAL_RUN_TIME_S = 0.05
+# Largest random difference of worth, which spreads equal choices.
 JITTER = 0.01
+# Worth of a second of an upstream's time, which decides between equal answers.
+RUN_TIME_PRICE = 0.02
+# Parts of the time until a request is due: an answer expected up to the first is
+# worth all of it, one expected from the second on is late.
+FULL_WORTH_SHARE = 0.7
+LATE_SHARE = 1.2
 # Slowdown of an upstream that has just started.
 COLD_FACTOR = 2.0
 
@@ -179,7 +189,7 @@
         finish = now + 2 * delay_s + wait_s + run_time_s
         worth = answer_worth(finish, now=now, due_at=due_at, deadline=deadline)
         failure_ratio = view.failure_ratio * exp(-(now - view.failed_at) / FORGET_S)
-        return worth * (1.0 - failure_ratio) - cost - 0.02 * run_time_s
+        return worth * (1.0 - failure_ratio) - cost - RUN_TIME_PRICE * run_time_s
 
     def estimate_wait(self, view: UpstreamView, now: float) -> float:
         """Return the expected time until a slot is free, in seconds."""
@@ -246,7 +256,7 @@
             known.mean_s += GAIN * (run_time_s - known.mean_s)
             known.at = now
         mean_s = self.route_run_times_s.get(route, run_time_s)
-        self.route_run_times_s[route] = mean_s + 0.05 * (run_time_s - mean_s)
+        self.route_run_times_s[route] = mean_s + ROUTE_GAIN * (run_time_s - mean_s)
         view.failure_ratio *= 1.0 - FAILURE_GAIN
         view.unreachable_until = float("-inf")
 
@@ -275,8 +285,9 @@
     if due_at <= now:
         return LATE_WORTH
     used = (finish - now) / (due_at - now)
-    if used <= 0.7:
+    if used <= FULL_WORTH_SHARE:
         return 1.0
-    if used >= 1.2:
+    if used >= LATE_SHARE:
         return LATE_WORTH
-    return 1.0 - (used - 0.7) / 0.5 * (1.0 - LATE_WORTH)
+    lost = (used - FULL_WORTH_SHARE) / (LATE_SHARE - FULL_WORTH_SHARE)
+    return 1.0 - lost * (1.0 - LATE_WORTH)
