--- a/foxtailway/platform/document.py
+++ b/foxtailway/platform/document.py
@@ -1,10 +1,11 @@
 """Decoding of the documents in the platform's store."""
 
-import json
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Any
 
-from foxtailway.platform.quantity import parse_duration, parse_version
+import msgpack
+
+from foxtailway.platform.quantity import milliseconds, require_count, require_text
 from foxtailway.traffic.configuration import (
     ClientLimits,
     TrafficConfiguration,
@@ -14,12 +15,21 @@
 from foxtailway.traffic.membership import Upstream, UpstreamState
 from foxtailway.traffic.route_index import normalize_host
 
-__all__ = ["DocumentError", "decode_configuration", "decode_upstream"]
+__all__ = ["ConfigurationDecoder", "DocumentError", "decode_upstream"]
 
 STATES = {"ready": UpstreamState.READY, "draining": UpstreamState.DRAINING}
 ROUTE_TYPE_IDEMPOTENT = "safe"
 LOWEST_PRIORITY = 9
 DEFAULT_MAX_ATTEMPTS = 1
+DECODE_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    msgpack.UnpackException,
+)
+
+Destinations = tuple[WeightedService, ...]
 
 
 class DocumentError(Exception):
@@ -39,92 +49,165 @@
         self.detail = detail
 
 
-def decode_configuration(key: str, content: bytes) -> TrafficConfiguration:
-    """Return a whole configuration, or raise `DocumentError`."""
-    try:
-        document = json.loads(content)
-        names = {cluster["name"] for cluster in document["clusters"]}
-        return TrafficConfiguration(
-            version=parse_version(document["version"]),
-            routes=tuple(read_routes(document, names)),
-            limits=read_limits(document.get("limits", {})),
-        )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise DocumentError(key=key, detail=repr(error)) from error
+class ConfigurationDecoder:
+    """Decode configurations that mostly repeat the one before.
 
+    Attributes
+    ----------
+    routes : dict of bytes to TrafficRoute
+        Routes of the last configuration by their packed row. Equal rows of the next
+        one become the same objects, which saves time here and in comparisons.
+    """
 
-def read_routes(document: dict[str, Any], services: set[str]) -> Iterator[TrafficRoute]:
-    """Yield the routes of all hosts."""
-    for listener in document["listeners"]:
-        host = listener["host"]
-        if not host:
-            raise ValueError("listener without host")
-        for rule in listener["rules"]:
-            yield read_route(normalize_host(host), rule, services)
-
-
-def read_route(host: str, rule: dict[str, Any], services: set[str]) -> TrafficRoute:
-    """Return one route."""
-    action = rule["action"]
-    prefix = rule["match"]["prefix"]
-    if not prefix.startswith("/") or not prefix.endswith("/"):
-        raise ValueError(f"prefix {prefix!r}")
-    destinations = read_destinations(action)
-    unknown = {item.service for item in destinations} - services
-    if unknown:
-        raise ValueError(f"unknown services {sorted(unknown)}")
-    timeout_s = parse_duration(action["timeout"])
-    target = rule.get("target_latency")
-    return TrafficRoute(
-        name=rule["name"],
-        host=host,
-        prefix=prefix,
-        destinations=destinations,
-        is_idempotent=rule["route_type"] == ROUTE_TYPE_IDEMPOTENT,
-        priority=int(rule.get("priority", LOWEST_PRIORITY)),
-        timeout_s=timeout_s,
-        target_latency_s=timeout_s if target is None else parse_duration(target),
-        max_attempts=int(action.get("max_attempts", DEFAULT_MAX_ATTEMPTS)),
-    )
+    def __init__(self) -> None:
+        self.columns: list[str] = []
+        self.services: set[str] = set()
+        self.routes: dict[bytes, TrafficRoute] = {}
+
+    def decode(self, key: str, content: bytes) -> TrafficConfiguration:
+        """Return a whole configuration, or raise `DocumentError`."""
+        try:
+            document = msgpack.unpackb(content, use_list=False)
+            services = {row["name"] for row in read_table(document["services"])}
+            return TrafficConfiguration(
+                version=require_count(document["version"]),
+                routes=self.read_routes(document["routes"], services),
+                limits=read_limits(document.get("limits", {})),
+            )
+        except DECODE_ERRORS as error:
+            raise DocumentError(key=key, detail=repr(error)) from error
+
+    def read_routes(
+        self, table: Mapping[str, Any], services: set[str]
+    ) -> tuple[TrafficRoute, ...]:
+        """Return the routes of a table."""
+        columns = [require_text(name) for name in table["columns"]]
+        if columns != self.columns or services != self.services:
+            self.columns, self.services, self.routes = columns, services, {}
+        reader = RouteReader(services=services)
+        routes = []
+        by_row = {}
+        for row in table["rows"]:
+            mark = msgpack.packb(row)
+            route = self.routes.get(mark)
+            if route is None:
+                route = reader.read_route(read_row(columns, row))
+            by_row[mark] = route
+            routes.append(route)
+        self.routes = by_row
+        return tuple(routes)
+
+
+def read_table(table: Mapping[str, Any]) -> Iterator[dict[str, Any]]:
+    """Yield the rows of a table with the fields that they have."""
+    names = [require_text(name) for name in table["columns"]]
+    for row in table["rows"]:
+        yield read_row(names, row)
+
+
+def read_row(names: Sequence[str], row: Sequence[Any]) -> dict[str, Any]:
+    """Return a row by field; trailing fields and those without value are absent."""
+    if type(row) is not tuple or len(row) > len(names):
+        raise ValueError(f"row {row!r}")
+    return {
+        name: value
+        for name, value in zip(names, row, strict=False)
+        if value is not None
+    }
+
+
+class RouteReader:
+    """Read the routes of a configuration.
 
+    Parameters
+    ----------
+    services : set of str
+        Services that the configuration defines.
 
-def read_destinations(action: dict[str, Any]) -> tuple[WeightedService, ...]:
-    """Return the services that share a route's requests."""
-    split = action.get("traffic_split")
-    if split is None:
-        return (WeightedService(service=action["service"], weight=1.0),)
-    destinations = tuple(
-        WeightedService(service=part["service"], weight=float(part["weight"]))
-        for part in split
-        if float(part["weight"]) > 0
-    )
-    if not destinations:
-        raise ValueError("traffic_split without weight")
-    return destinations
+    Notes
+    -----
+    Equal destinations share one object, since most routes of a configuration
+    lead to one of few services.
+    """
 
+    def __init__(self, *, services: set[str]) -> None:
+        self.services = services
+        self.single: dict[str, Destinations] = {}
+
+    def read_route(self, row: Mapping[str, Any]) -> TrafficRoute:
+        """Return one route."""
+        prefix = row["prefix"]
+        if not prefix.startswith("/") or not prefix.endswith("/"):
+            raise ValueError(f"prefix {prefix!r}")
+        timeout_s = milliseconds(row["timeout"])
+        target = row.get("target_latency")
+        return TrafficRoute(
+            name=require_text(row["name"]),
+            host=normalize_host(require_text(row["host"])),
+            prefix=prefix,
+            destinations=self.read_destinations(row),
+            is_idempotent=row["route_type"] == ROUTE_TYPE_IDEMPOTENT,
+            priority=require_count(row.get("priority", LOWEST_PRIORITY)),
+            timeout_s=timeout_s,
+            target_latency_s=timeout_s if target is None else milliseconds(target),
+            max_attempts=require_count(row.get("max_attempts", DEFAULT_MAX_ATTEMPTS)),
+        )
 
-def read_limits(limits: dict[str, Any]) -> ClientLimits:
+    def read_destinations(self, row: Mapping[str, Any]) -> Destinations:
+        """Return the services that share a route's requests."""
+        split = row.get("traffic_split")
+        if split is None:
+            return self.find_single(row["service"])
+        destinations = tuple(
+            WeightedService(
+                service=self.check_service(part["service"]),
+                weight=float(part["weight"]),
+            )
+            for part in split
+            if float(part["weight"]) > 0
+        )
+        if not destinations:
+            raise ValueError("traffic_split without weight")
+        return destinations
+
+    def find_single(self, service: str) -> Destinations:
+        """Return the destinations of a route that leads to one service."""
+        found = self.single.get(service)
+        if found is None:
+            found = (WeightedService(service=self.check_service(service), weight=1.0),)
+            self.single[service] = found
+        return found
+
+    def check_service(self, service: str) -> str:
+        """Return the name of a service that is defined, or raise ValueError."""
+        if service not in self.services:
+            raise ValueError(f"unknown service {service!r}")
+        return service
+
+
+def read_limits(limits: Mapping[str, Any]) -> ClientLimits:
     """Return the limits of client connections."""
     defaults = ClientLimits()
+
+    def read(name: str, convert: Callable[[object], Any], default: Any) -> Any:
+        return convert(limits[name]) if name in limits else default
+
     return ClientLimits(
-        max_header_size=int(limits.get("max_header_bytes", defaults.max_header_size)),
-        max_body_size=int(limits.get("max_body_bytes", defaults.max_body_size)),
-        header_timeout_s=read_duration(
-            limits, "header_timeout", defaults.header_timeout_s
+        max_header_size=read(
+            "max_header_bytes", require_count, defaults.max_header_size
+        ),
+        max_body_size=read("max_body_bytes", require_count, defaults.max_body_size),
+        header_timeout_s=read(
+            "header_timeout", milliseconds, defaults.header_timeout_s
         ),
-        idle_timeout_s=read_duration(limits, "idle_timeout", defaults.idle_timeout_s),
+        idle_timeout_s=read("idle_timeout", milliseconds, defaults.idle_timeout_s),
     )
 
 
-def read_duration(fields: dict[str, Any], name: str, default_s: float) -> float:
-    """Return a field's duration in seconds."""
-    return parse_duration(fields[name]) if name in fields else default_s
-
-
 def decode_upstream(key: str, upstream_id: str, content: bytes) -> Upstream:
     """Return the upstream that an entry describes, or raise `DocumentError`."""
     try:
-        entry = json.loads(content)
+        entry = msgpack.unpackb(content)
         info = entry["info"]
         status = entry["status"]
         address, _, port = entry["address"].rpartition(":")
@@ -136,23 +219,9 @@
             zone=require_text(info["zone"]),
             n_slots=require_count(info["slots"]),
             state=STATES[status["state"]],
-            cold_s=parse_duration(status.get("cold_remaining", "0ms")),
+            cold_s=milliseconds(status.get("cold_remaining", 0)),
             born_ms=require_count(entry.get("born", 0)),
             sequence=require_count(status["sequence"]),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except DECODE_ERRORS as error:
         raise DocumentError(key=key, detail=repr(error)) from error
-
-
-def require_text(value: object) -> str:
-    """Return a non-empty text, or raise ValueError."""
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"not a name: {value!r}")
-    return value
-
-
-def require_count(value: object) -> int:
-    """Return a whole number that is not negative, or raise ValueError."""
-    if type(value) is not int or value < 0:
-        raise ValueError(f"not a count: {value!r}")
-    return value
--- a/foxtailway/platform/quantity.py
+++ b/foxtailway/platform/quantity.py
@@ -1,43 +1,47 @@
 """Durations and versions as the platform writes them."""
 
-from math import isfinite
+__all__ = ["milliseconds", "parse_seconds", "require_count", "require_text"]
 
-__all__ = ["parse_duration", "parse_version"]
+# Longest duration that is believed, in milliseconds: a day.
+MAX_DURATION_MS = 86_400_000
 
-VERSION_TAG = "r"
 
-
-def parse_duration(text: object) -> float:
-    """Return a duration in seconds, or raise ValueError.
+def milliseconds(value: object) -> float:
+    """Return a whole number of milliseconds in seconds, or raise ValueError.
 
     Examples
     --------
-    >>> parse_duration("1500ms")
+    >>> milliseconds(1500)
     1.5
-    >>> parse_duration("2.5s")
-    2.5
     """
-    if not isinstance(text, str):
-        raise ValueError(f"not a duration: {text!r}")
-    if text.endswith("ms"):
-        seconds = float(text[:-2]) / 1000
-    elif text.endswith("s"):
-        seconds = float(text[:-1])
-    else:
-        raise ValueError(f"duration without unit: {text!r}")
-    if not isfinite(seconds) or seconds < 0:
-        raise ValueError(f"duration out of range: {text!r}")
-    return seconds
+    if require_count(value) > MAX_DURATION_MS:
+        raise ValueError(f"duration out of range: {value!r}")
+    return value / 1000
 
 
-def parse_version(text: object) -> int:
-    """Return the number of a configuration version, or raise ValueError.
+def parse_seconds(text: str) -> float:
+    """Return a number of seconds, or raise ValueError.
 
     Examples
     --------
-    >>> parse_version("r12")
-    12
+    >>> parse_seconds("2.5")
+    2.5
     """
-    if not isinstance(text, str) or not text.startswith(VERSION_TAG):
-        raise ValueError(f"not a version: {text!r}")
-    return int(text[len(VERSION_TAG) :])
+    seconds = float(text)
+    if not 0 <= seconds <= MAX_DURATION_MS / 1000:
+        raise ValueError(f"duration out of range: {text!r}")
+    return seconds
+
+
+def require_text(value: object) -> str:
+    """Return a non-empty text, or raise ValueError."""
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"not a name: {value!r}")
+    return value
+
+
+def require_count(value: object) -> int:
+    """Return a whole number that is not negative, or raise ValueError."""
+    if type(value) is not int or value < 0:
+        raise ValueError(f"not a count: {value!r}")
+    return value
--- a/foxtailway/platform/settings.py
+++ b/foxtailway/platform/settings.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Mapping
 
-from foxtailway.platform.quantity import parse_duration
+from foxtailway.platform.quantity import milliseconds, parse_seconds
 from foxtailway.sidecar.settings import Endpoint, SidecarSettings
+from foxtailway.traffic.feeding import HostCapacity
 
 __all__ = ["SettingsError", "read_settings"]
 
@@ -69,10 +70,16 @@
         ready_listener=parse_endpoint(fields["listen_addrs.ready"]),
         upstream=parse_endpoint(fields["app_addr"]),
         store=parse_endpoint(fields["platform.address"]),
-        grace_s=parse_duration(fields["bounds.grace"]),
+        capacity=HostCapacity(
+            link_mbps=float(fields["limits.link_mbps"]),
+            n_cores=float(fields["limits.cpu_share"])
+            * float(fields["limits.cpu_cores"]),
+        ),
+        apply_s=milliseconds(int(fields["bounds.config_apply"])),
+        grace_s=parse_seconds(fields["bounds.grace"]),
         retry_ratio=float(fields["bounds.retry_budget_ratio"]),
         retry_slack=float(fields["bounds.retry_budget_slack"]),
-        retry_window_s=parse_duration(fields["bounds.retry_window"]),
+        retry_window_s=parse_seconds(fields["bounds.retry_window"]),
     )
 
 
--- a/foxtailway/platform/store.py
+++ b/foxtailway/platform/store.py
@@ -1,13 +1,14 @@
 """Client of the platform's store."""
 
 import asyncio
-import json
 from base64 import b64decode
 from binascii import Error as Base64Error
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
 
+import msgpack
+
 from foxtailway.sidecar.http_connection import (
     ExchangeError,
     HttpConnection,
@@ -22,6 +23,14 @@
 READ_TIMEOUT_S = 2.0
 # Time that the answer to a watch may take beyond its wait, in seconds.
 WATCH_MARGIN_S = 1.2
+CALL_ERRORS = (
+    ExchangeError,
+    TimeoutError,
+    ValueError,
+    KeyError,
+    TypeError,
+    msgpack.UnpackException,
+)
 
 
 class StoreError(Exception):
@@ -142,8 +151,8 @@
                 connection = await self.connect()
                 reply = await connection.request(self.encode(name, query))
             if reply.status == 200:
-                return read_page(json.loads(reply.body))
-        except (ExchangeError, TimeoutError, ValueError, KeyError, TypeError) as error:
+                return read_page(msgpack.unpackb(reply.body))
+        except CALL_ERRORS as error:
             self.close()
             detail = str(error) or "timeout"
             raise StoreError(step=name, peer=self.peer, detail=detail) from error
--- a/foxtailway/platform/tests/documents.py
+++ b/foxtailway/platform/tests/documents.py
@@ -1,26 +1,44 @@
 """Documents of the platform for tests."""
 
-import json
+import msgpack
 
 
-def make_configuration(version: int, **rule: object) -> bytes:
-    """Return a configuration with one route."""
+def make_configuration(version: int, **changes: object) -> bytes:
+    """Return a configuration with one route, with some fields changed."""
+    return msgpack.packb(make_document(version, [make_route_row(**changes)]))
+
+
+def make_document(version: object, rows: list[dict]) -> dict:
+    """Return a configuration with rows of routes, before it is packed."""
+    columns = list(dict.fromkeys(name for row in rows for name in row))
+    return {
+        "version": version,
+        "limits": {"max_header_bytes": 16384, "idle_timeout": 15000},
+        "routes": {
+            "columns": columns,
+            "rows": [[row.get(name) for name in columns] for row in rows],
+        },
+        "services": {
+            "columns": ["name", "health_path"],
+            "rows": [["records", "/health"], ["dispatch", "/health"]],
+        },
+    }
+
+
+def make_route_row(**changes: object) -> dict:
+    """Return the fields of a route, with some changed."""
     fields = {
         "name": "lookup",
+        "host": "a.example",
+        "prefix": "/x/",
         "route_type": "safe",
-        "target_latency": "250ms",
+        "timeout": 600,
+        "target_latency": 250,
         "priority": 2,
-        "match": {"prefix": "/x/"},
-        "action": {"service": "records", "timeout": "600ms", "max_attempts": 2},
+        "service": "records",
+        "max_attempts": 2,
     }
-    return json.dumps(
-        {
-            "version": f"r{version}",
-            "limits": {"max_header_bytes": 16384, "idle_timeout": "15000ms"},
-            "listeners": [{"host": "a.example", "rules": [fields | rule]}],
-            "clusters": [{"name": "records"}, {"name": "dispatch"}],
-        }
-    ).encode()
+    return fields | changes
 
 
 def make_entry(**changes: object) -> bytes:
@@ -34,6 +52,6 @@
             "zone": "zone-a",
             "slots": 12,
         },
-        "status": {"state": "ready", "sequence": 4, "cold_remaining": "1500ms"},
+        "status": {"state": "ready", "sequence": 4, "cold_remaining": 1500},
     }
-    return json.dumps(entry | changes).encode()
+    return msgpack.packb(entry | changes)
--- a/foxtailway/platform/tests/store_stand_in.py
+++ b/foxtailway/platform/tests/store_stand_in.py
@@ -1,10 +1,11 @@
 """Small stand-in of the platform's store."""
 
 import asyncio
-import json
 from base64 import b64encode
 from urllib.parse import parse_qs, urlsplit
 
+import msgpack
+
 from foxtailway.platform.names import HEADER_NAMES
 from foxtailway.sidecar.http_listener import HttpListener, RequestHandler
 from foxtailway.sidecar.http_message import Answer, ClientRequest
@@ -121,5 +122,5 @@
 
     def encode(self, **fields: object) -> Answer:
         """Return an answer with the store's revision."""
-        body = json.dumps(fields | {"store_revision": self.revision}).encode()
+        body = msgpack.packb(fields | {"store_revision": self.revision})
         return Answer(status=200, body=body)
--- a/foxtailway/platform/tests/test_document.py
+++ b/foxtailway/platform/tests/test_document.py
@@ -1,20 +1,29 @@
-import json
 from unittest import TestCase
 
+import msgpack
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from foxtailway.platform.document import (
+    ConfigurationDecoder,
     DocumentError,
-    decode_configuration,
     decode_upstream,
 )
-from foxtailway.platform.tests.documents import make_configuration, make_entry
-from foxtailway.traffic.configuration import WeightedService
+from foxtailway.platform.tests.documents import (
+    make_configuration,
+    make_document,
+    make_entry,
+    make_route_row,
+)
+from foxtailway.traffic.configuration import TrafficConfiguration, WeightedService
 from foxtailway.traffic.membership import UpstreamState
 
-JSON_VALUES = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(min_value=-(2**63), max_value=2**64 - 1)
+    | st.floats()
+    | st.text(max_size=5),
     lambda inner: (
         st.lists(inner, max_size=3)
         | st.dictionaries(st.text(max_size=5), inner, max_size=3)
@@ -23,6 +32,10 @@
 )
 
 
+def decode_configuration(key: str, content: bytes) -> TrafficConfiguration:
+    return ConfigurationDecoder().decode(key, content)
+
+
 class ConfigurationTest(TestCase):
     def test_route_is_decoded(self) -> None:
         configuration = decode_configuration("op/config", make_configuration(12))
@@ -34,13 +47,49 @@
         self.assertEqual(configuration.limits.max_header_size, 16384)
         self.assertEqual(configuration.limits.idle_timeout_s, 15.0)
 
+    def test_absent_fields_take_their_defaults(self) -> None:
+        content = make_configuration(
+            1, target_latency=None, priority=None, max_attempts=None
+        )
+        route = decode_configuration("op/config", content).routes[0]
+        self.assertEqual(route.target_latency_s, route.timeout_s)
+        self.assertEqual((route.priority, route.max_attempts), (9, 1))
+
+    def test_rows_without_their_last_fields_are_decoded(self) -> None:
+        split = [{"service": "dispatch", "weight": 1}]
+        rows = [
+            make_route_row(),
+            make_route_row(prefix="/y/", service=None, traffic_split=split),
+        ]
+        document = make_document(1, rows)
+        document["routes"]["rows"][0].pop()
+        routes = decode_configuration("op/config", msgpack.packb(document)).routes
+        services = [route.destinations[0].service for route in routes]
+        self.assertEqual(services, ["records", "dispatch"])
+
+    def test_unchanged_routes_are_taken_over(self) -> None:
+        decoder = ConfigurationDecoder()
+        rows = [make_route_row(), make_route_row(prefix="/y/")]
+        first = decoder.decode("op/config", msgpack.packb(make_document(1, rows)))
+        rows[1] = make_route_row(prefix="/y/", timeout=900)
+        second = decoder.decode("op/config", msgpack.packb(make_document(2, rows)))
+        self.assertIs(first.routes[0], second.routes[0])
+        self.assertEqual(second.routes[1].timeout_s, 0.9)
+
+    def test_routes_are_checked_again_when_a_service_is_gone(self) -> None:
+        decoder = ConfigurationDecoder()
+        document = make_document(1, [make_route_row()])
+        decoder.decode("op/config", msgpack.packb(document))
+        document["services"]["rows"].pop(0)
+        with self.assertRaises(DocumentError):
+            decoder.decode("op/config", msgpack.packb(document))
+
     def test_split_is_decoded(self) -> None:
         split = [
             {"service": "records", "weight": 90},
             {"service": "dispatch", "weight": 10},
         ]
-        action = {"traffic_split": split, "timeout": "600ms"}
-        content = make_configuration(1, action=action)
+        content = make_configuration(1, service=None, traffic_split=split)
         route = decode_configuration("op/config", content).routes[0]
         self.assertEqual(
             route.destinations,
@@ -52,13 +101,26 @@
 
     def test_unusable_configuration_is_rejected_whole(self) -> None:
         valid = make_configuration(1)
+        row = make_route_row()
+        timeless = {name: row[name] for name in row if name != "timeout"}
+        part = {"service": "records", "weight": 0}
         broken = {
             "cut short": valid[:-20],
-            "unknown service": valid.replace(b'"records", "t', b'"other", "t'),
-            "bare prefix": make_configuration(1, match={"prefix": "x"}),
-            "no timeout": make_configuration(1, action={"service": "records"}),
-            "no host": valid.replace(b"a.example", b""),
-            "version": valid.replace(b'"r1"', b'"1"'),
+            "unknown service": make_configuration(1, service="other"),
+            "bare prefix": make_configuration(1, prefix="x"),
+            "no timeout": msgpack.packb(make_document(1, [timeless])),
+            "no host": make_configuration(1, host=""),
+            "version": msgpack.packb(make_document("r1", [row])),
+            "row too long": msgpack.packb(
+                {
+                    **make_document(1, [row]),
+                    "routes": {"columns": ["name"], "rows": [["a", "b"]]},
+                }
+            ),
+            "split without weight": make_configuration(
+                1, service=None, traffic_split=[part]
+            ),
+            "time out of range": make_configuration(1, timeout=-1),
         }
         for name, content in broken.items():
             with self.subTest(name), self.assertRaises(DocumentError):
@@ -74,16 +136,14 @@
         self.assertIs(upstream.state, UpstreamState.READY)
 
     @settings(derandomize=True, max_examples=200)
-    @given(
-        name=st.sampled_from(["address", "born", "info", "status"]), value=JSON_VALUES
-    )
+    @given(name=st.sampled_from(["address", "born", "info", "status"]), value=VALUES)
     def test_foreign_entry_names_no_upstream(self, name: str, value: object) -> None:
         content = make_entry(**{name: value})
         try:
             upstream = decode_upstream("servers/u-1", "u-1", content)
         except DocumentError:
             return
-        entry = json.loads(content)
+        entry = msgpack.unpackb(content)
         self.assertIn(entry["status"]["state"], ("ready", "draining"))
         self.assertIsInstance(upstream.born_ms, int)
         self.assertTrue(upstream.address)
@@ -94,6 +154,6 @@
             decode_upstream("servers/u-1", "u-1", make_entry(status=status))
 
     def test_bytes_that_are_no_document_are_foreign(self) -> None:
-        for content in (b"", b"\xff\x00", b"[]", b"7"):
+        for content in (b"", b"\xff\x00", b"\x90", b"\x07"):
             with self.subTest(content), self.assertRaises(DocumentError):
                 decode_upstream("servers/u-1", "u-1", content)
--- a/foxtailway/platform/tests/test_feed.py
+++ b/foxtailway/platform/tests/test_feed.py
@@ -1,45 +1,65 @@
 import asyncio
-import json
-import zlib
 from contextlib import suppress
 from random import Random
 from unittest import IsolatedAsyncioTestCase
 from unittest.mock import patch
 
+import msgpack
+
 from foxtailway.platform import feed as feed_module
 from foxtailway.platform import store as store_module
 from foxtailway.platform.feed import StoreFeed
 from foxtailway.platform.store import StoreClient, StoreItem, StorePage
 from foxtailway.platform.tests.documents import make_configuration, make_entry
 from foxtailway.platform.tests.store_stand_in import StoreStandIn
+from foxtailway.sidecar.feed_exchange import FeedExchange
 from foxtailway.sidecar.http_message import Answer
-from foxtailway.sidecar.peer_message import PeerItem, PeerUpdate
+from foxtailway.sidecar.peer_message import PeerUpdate
 from foxtailway.sidecar.tests.support import PATIENCE_S, make_log, wait_until
 from foxtailway.traffic.configuration import TrafficConfiguration
-from foxtailway.traffic.feeding import FeedRoles
+from foxtailway.traffic.feeding import FeedRoles, FeedTimes, HostCapacity
 from foxtailway.traffic.membership import Membership
+from foxtailway.traffic.registry_change import RegistryChange
 
-DRAINING = {"state": "draining", "sequence": 9, "cold_remaining": "0ms"}
+DRAINING = {"state": "draining", "sequence": 9, "cold_remaining": 0}
 
 
-class RecordingNode:
+class RecordingPeers:
     def __init__(self) -> None:
-        self.membership = Membership()
-        self.log = make_log()
-        self.versions: list[int] = []
-        self.n_changes = 0
-        self.roles = FeedRoles(address="10.0.0.9")
         self.updates: list[PeerUpdate] = []
-        self.update_handler = None
 
-    def send_update(self, update: PeerUpdate) -> None:
+    def broadcast(self, _addresses: tuple[str, ...], update: PeerUpdate) -> None:
         self.updates.append(update)
 
+
+class RecordingNode:
+    def __init__(self, address: str = "10.0.0.9", link_mbps: float = 100.0) -> None:
+        self.membership = Membership()
+        self.log = make_log()
+        self.versions: list[int] = []
+        self.peers = RecordingPeers()
+        self.roles = FeedRoles(
+            address=address,
+            capacity=HostCapacity(link_mbps=link_mbps, n_cores=1.0),
+            times=FeedTimes(apply_s=2.0),
+        )
+        self.exchange = FeedExchange(
+            address=address,
+            membership=self.membership,
+            roles=self.roles,
+            peers=self.peers,
+            apply=self.apply,
+            on_membership_change=self.membership_changed,
+            log=self.log,
+        )
+
     def apply(self, configuration: TrafficConfiguration) -> None:
         self.versions.append(configuration.version)
 
     def membership_changed(self) -> None:
-        self.n_changes += 1
+        self.roles.update(
+            self.membership.upstreams.values(), "zone-a", {"zone-a": "east"}
+        )
 
 
 class StoreFeedTest(IsolatedAsyncioTestCase):
@@ -49,6 +69,7 @@
             "FOLLOW_INTERVAL_S",
             "FIRST_BACKOFF_S",
             "MAX_BACKOFF_S",
+            "MAX_READER_BACKOFF_S",
         ):
             patcher = patch.object(feed_module, name, 0.0)
             patcher.start()
@@ -85,40 +106,6 @@
     def n_ready(self) -> int:
         return len(self.node.membership.list_ready("records"))
 
-    async def test_reader_passes_on_what_the_store_answered(self) -> None:
-        self.node.roles.readers = ("10.0.0.9",)
-        self.node.roles.followers = ("10.0.0.8",)
-        await self.start()
-        self.store.put("op/config", make_configuration(4))
-        self.store.put("op/config", make_configuration(5))
-        self.store.remove("servers/u-1")
-        await wait_until(lambda: self.n_ready == 4)
-        follower = StoreFeed(
-            client=self.client, node=RecordingNode(), random_source=Random(1)
-        )
-        follower.revision = self.node.updates[0].base_revision
-        for update in self.node.updates:
-            follower.receive(update)
-        self.assertEqual(follower.node.versions[-1], 5)
-        self.assertEqual(follower.revision, self.feed.revision)
-        self.assertTrue(follower.node.roles.is_fed(follower.loop.time()))
-
-    async def test_update_behind_a_gap_is_not_taken(self) -> None:
-        self.feed.revision = 5
-        self.feed.receive(PeerUpdate(base_revision=6, revision=9, age_ms=0, items=()))
-        self.assertEqual(self.feed.revision, 5)
-        self.assertFalse(self.node.roles.is_fed(self.feed.loop.time()))
-
-    async def test_change_that_is_known_is_not_taken_again(self) -> None:
-        self.feed.revision = 8
-        content = zlib.compress(make_configuration(4))
-        item = PeerItem(key="op/config", revision=8, is_removed=False, content=content)
-        self.feed.receive(
-            PeerUpdate(base_revision=6, revision=9, age_ms=0, items=(item,))
-        )
-        self.assertEqual(self.node.versions, [])
-        self.assertEqual(self.feed.revision, 9)
-
     async def test_answer_that_an_update_overtook_undoes_nothing(self) -> None:
         await self.start()
         removed = StoreItem(
@@ -127,31 +114,76 @@
         overtaken = StorePage(items=(removed,), revision=90, has_more=False)
 
         async def watch(_prefix: str, _after: int, _wait_s: float) -> StorePage:
-            content = zlib.compress(make_entry())
-            item = PeerItem(
-                key="servers/u-1", revision=95, is_removed=False, content=content
-            )
-            base = self.feed.revision
-            self.feed.receive(
-                PeerUpdate(base_revision=base, revision=95, age_ms=0, items=(item,))
+            self.feed.exchange.take(
+                RegistryChange(
+                    base_revision=self.feed.exchange.revision,
+                    revision=95,
+                    upstreams=(),
+                    removed=(),
+                    configuration=None,
+                )
             )
             return overtaken
 
         self.client.watch = watch
         await self.feed.watch_once()
         self.assertEqual(self.n_ready, 5)
-        self.assertEqual(self.feed.revision, 95)
+        self.assertEqual(self.feed.exchange.revision, 95)
+
+    async def test_removed_and_registered_again_within_one_answer(self) -> None:
+        await self.start()
+        page = StorePage(
+            items=(
+                StoreItem(
+                    key="servers/u-1", revision=90, content=None, is_removed=True
+                ),
+                StoreItem(
+                    key="servers/u-1",
+                    revision=91,
+                    content=make_entry(),
+                    is_removed=False,
+                ),
+            ),
+            revision=91,
+            has_more=False,
+        )
+
+        async def watch(_prefix: str, _after: int, _wait_s: float) -> StorePage:
+            return page
+
+        self.client.watch = watch
+        await self.feed.watch_once()
+        self.assertEqual(self.n_ready, 5)
+
+    async def test_outage_is_told_to_the_followers(self) -> None:
+        await self.start()
+        self.store.status = 503
+        self.store.cut_watches()
+        await wait_until(lambda: self.feed.lost_at is not None)
+        await wait_until(lambda: self.node.peers.updates[-1].is_recovering)
+        self.assertGreater(self.node.peers.updates[-1].revision, 0)
 
     async def test_fed_node_leaves_the_store_alone_until_it_is_silent(self) -> None:
         await self.start()
+        self.node.roles.capacity = HostCapacity(link_mbps=1.0, n_cores=1.0)
+        self.node.membership_changed()
         self.node.roles.confirm(self.feed.loop.time() + 1e6)
         await wait_until(lambda: not self.feed.client.connection.exchange)
         n_calls = len(self.store.calls)
         await asyncio.sleep(0.05)
         self.assertEqual(len(self.store.calls), n_calls)
         self.node.roles.confirmed_at = float("-inf")
+        self.node.roles.deferred_at = float("-inf")
         await wait_until(lambda: len(self.store.calls) > n_calls)
 
+    async def test_weak_host_waits_for_a_reader_after_its_listing(self) -> None:
+        self.node.roles.capacity = HostCapacity(link_mbps=1.0, n_cores=1.0)
+        task = asyncio.create_task(self.feed.run())
+        self.addAsyncCleanup(self.stop, task)
+        await wait_until(lambda: self.node.versions == [3])
+        await asyncio.sleep(0.02)
+        self.assertNotIn("/v1/kv-watch", self.store.calls)
+
     async def test_all_pages_are_read(self) -> None:
         await self.start()
         self.assertEqual(self.n_ready, 5)
@@ -209,7 +241,7 @@
         await self.start()
         body = {"message": "no events"}
         self.store.encode = lambda **_fields: Answer(
-            status=200, body=json.dumps(body).encode()
+            status=200, body=msgpack.packb(body)
         )
         self.store.cut_watches()
         await wait_until(lambda: self.feed.lost_at is not None)
@@ -222,7 +254,7 @@
         self.store.cut_watches()
         await wait_until(lambda: self.feed.lost_at is not None)
         self.feed.lost_at -= 2 * feed_module.MAX_CATCH_UP_S
-        await wait_until(lambda: self.feed.revision is None)
+        await wait_until(lambda: self.feed.must_list)
         self.store.put("op/config", make_configuration(9))
         self.store.status = 200
         await wait_until(lambda: self.node.versions[-1] == 9)
--- a/foxtailway/platform/tests/test_settings.py
+++ b/foxtailway/platform/tests/test_settings.py
@@ -1,7 +1,7 @@
 from tempfile import NamedTemporaryFile
 from unittest import TestCase
 
-from foxtailway.platform.quantity import parse_duration, parse_version
+from foxtailway.platform.quantity import milliseconds, parse_seconds
 from foxtailway.platform.settings import SettingsError, read_settings
 
 TEXT = """node_name=side-1
@@ -14,9 +14,13 @@
 listen_addrs.ready=10.0.0.1:8302
 app_addr=10.0.0.1:8301
 platform.address=10.9.0.1:8309
-bounds.grace=6s
+limits.link_mbps=70.0
+limits.cpu_share=0.717
+limits.cpu_cores=3
+bounds.config_apply=2000
+bounds.grace=6
 bounds.retry_budget_ratio=0.2
-bounds.retry_window=10s
+bounds.retry_window=10
 bounds.retry_budget_slack=56
 field.not.known=7
 """
@@ -34,6 +38,9 @@
         self.assertEqual(settings.zone_regions, {"zone-a": "east", "zone-b": "west"})
         self.assertEqual(settings.peer_listener.port, 8300)
         self.assertEqual(settings.grace_s, 6.0)
+        self.assertEqual(settings.apply_s, 2.0)
+        self.assertAlmostEqual(settings.capacity.n_cores, 2.151)
+        self.assertEqual(settings.capacity.link_mbps, 70.0)
         self.assertEqual(settings.retry_slack, 56.0)
 
     def test_missing_field_is_named(self) -> None:
@@ -45,9 +52,9 @@
             read_settings("/absent/settings.conf")
 
     def test_quantities_out_of_form_are_rejected(self) -> None:
-        for text in ("5", "nans", "-1s", "", None, 7):
+        for value in ("5", 1.5, -1, True, None, 10**9):
+            with self.subTest(value), self.assertRaises(ValueError):
+                milliseconds(value)
+        for text in ("5ms", "nan", "-1", "", "inf"):
             with self.subTest(text), self.assertRaises(ValueError):
-                parse_duration(text)
-        for text in ("12", "r", "r1.5", None):
-            with self.subTest(text), self.assertRaises(ValueError):
-                parse_version(text)
+                parse_seconds(text)
--- /dev/null
+++ b/foxtailway/sidecar/feed_exchange.py
@@ -0,0 +1,286 @@
+"""Exchange of upstreams and configurations between sidecars."""
+
+import asyncio
+from collections.abc import Callable
+
+from foxtailway.sidecar.feed_content import (
+    FeedContentError,
+    MemberChange,
+    pack,
+    unpack,
+)
+from foxtailway.sidecar.log import EventLog
+from foxtailway.sidecar.peer_message import PeerFeedRequest, PeerUpdate
+from foxtailway.sidecar.peer_pool import PeerPool
+from foxtailway.traffic.configuration import TrafficConfiguration
+from foxtailway.traffic.configuration_change import (
+    NO_VERSION,
+    ConfigurationChange,
+    apply_change,
+    compare_configurations,
+)
+from foxtailway.traffic.feeding import FeedRoles
+from foxtailway.traffic.membership import Membership
+from foxtailway.traffic.registry_change import RegistryChange
+
+__all__ = ["FeedExchange"]
+
+# Least time between two requests for a listing, in seconds.
+REQUEST_INTERVAL_S = 0.5
+# Largest age that is told, in seconds; older knowledge confirms nothing either.
+MAX_AGE_S = 3_600.0
+# Rank of a node that is not registered; behind all others.
+UNRANKED = 1_000_000
+# Time for which a new node waits for its own listing of the store before it asks
+# a reader for one, in seconds.
+LISTING_PATIENCE_S = 1.0
+NO_MEMBER_CHANGE = MemberChange()
+
+
+class FeedExchange:
+    """Take over what is read from the store and pass it on to other sidecars.
+
+    Parameters
+    ----------
+    address : str
+        IP address of this host.
+    membership : Membership
+        Upstreams that exist.
+    roles : FeedRoles
+        Who reads for whom.
+    peers : PeerPool
+        Streams to other hosts.
+    apply : callable
+        Puts a configuration in force.
+    on_membership_change : callable
+        Called after upstreams have changed.
+    log : EventLog
+        Receiver of events.
+
+    Attributes
+    ----------
+    revision : int or None
+        Revision of the store up to which all changes are known; None before the
+        first listing.
+    configuration : TrafficConfiguration or None
+        Newest configuration known.
+    known_at : float
+        Loop time for which the store was last known to have nothing newer, in
+        seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        membership: Membership,
+        roles: FeedRoles,
+        peers: PeerPool,
+        apply: Callable[[TrafficConfiguration], None],
+        on_membership_change: Callable[[], None],
+        log: EventLog,
+    ) -> None:
+        self.address = address
+        self.membership = membership
+        self.roles = roles
+        self.peers = peers
+        self.apply = apply
+        self.on_membership_change = on_membership_change
+        self.log = log
+        self.loop = asyncio.get_running_loop()
+        self.revision: int | None = None
+        self.configuration: TrafficConfiguration | None = None
+        self.known_at = float("-inf")
+        self.requested_at = self.loop.time() + LISTING_PATIENCE_S - REQUEST_INTERVAL_S
+        self.packed_configuration = b""
+
+    @property
+    def version(self) -> int:
+        """Version of the newest configuration known; `NO_VERSION` for none."""
+        if self.configuration is None:
+            return NO_VERSION
+        return self.configuration.version
+
+    def learn(self, change: RegistryChange, age_s: float) -> None:
+        """Take over what this node read from the store, and pass it on.
+
+        Parameters
+        ----------
+        change : RegistryChange
+            What was read.
+        age_s : float
+            Time since the store was known to have nothing newer, in seconds.
+        """
+        before = self.configuration
+        self.take(change)
+        self.known_at = self.loop.time() - age_s
+        if not self.roles.is_reader(self.loop.time()):
+            return
+        packed = b""
+        if self.configuration is not before:
+            packed = pack(compare_configurations(before, self.configuration))
+        self.broadcast(
+            self.make_update(
+                base_revision=change.base_revision,
+                members=MemberChange(
+                    upstreams=change.upstreams, removed=change.removed
+                ),
+                change=packed,
+            )
+        )
+
+    def repeat_age(self) -> None:
+        """Tell the followers how old this node's knowledge is."""
+        if self.revision is not None and self.roles.is_reader(self.loop.time()):
+            self.broadcast(self.make_update(base_revision=self.revision))
+
+    def broadcast(self, update: PeerUpdate) -> None:
+        """Send an update to all hosts of the region."""
+        self.peers.broadcast(self.roles.peers, update)
+
+    def make_update(
+        self,
+        *,
+        base_revision: int | None,
+        members: MemberChange = NO_MEMBER_CHANGE,
+        change: bytes = b"",
+    ) -> PeerUpdate:
+        """Return an update up to the revision that is known here."""
+        now = self.loop.time()
+        return PeerUpdate(
+            reader=self.address,
+            rank=UNRANKED if self.roles.rank is None else self.roles.rank,
+            base_revision=0 if base_revision is None else base_revision,
+            revision=self.revision,
+            is_listing=base_revision is None,
+            version=self.version,
+            age_ms=int(min(MAX_AGE_S, now - self.known_at) * 1000),
+            is_recovering=self.membership.is_recovering(now),
+            members=b"" if members == NO_MEMBER_CHANGE else pack(members),
+            change=change,
+        )
+
+    def serve(self, address: str) -> None:
+        """Send a listing to a sidecar that asked for it."""
+        if self.revision is None:
+            return
+        update = self.make_update(
+            base_revision=None,
+            members=MemberChange(upstreams=self.membership.list_registered()),
+            change=self.pack_configuration(),
+        )
+        self.peers.send(address, update)
+
+    def pack_configuration(self) -> bytes:
+        """Return the whole configuration; kept, as many may ask for it at once."""
+        if self.configuration is not None and not self.packed_configuration:
+            self.packed_configuration = pack(
+                compare_configurations(None, self.configuration)
+            )
+        return self.packed_configuration
+
+    def receive(
+        self, update: PeerUpdate, reply: Callable[[PeerFeedRequest], None]
+    ) -> None:
+        """Take over what a reader passed on, or ask for what is missing.
+
+        Parameters
+        ----------
+        update : PeerUpdate
+            Message of the reader.
+        reply : callable
+            Sends a message back to the reader.
+        """
+        if update.is_recovering:
+            self.membership.registry_failed(self.loop.time())
+        change = self.read_update(update)
+        if change is not None:
+            self.take(change)
+        if change is None or update.version > self.version:
+            self.request_listing(reply)
+            return
+        known_at = self.loop.time() - update.age_ms / 1000
+        self.known_at = max(self.known_at, known_at)
+        self.roles.confirm_by(known_at, update.reader, update.rank)
+
+    def read_update(self, update: PeerUpdate) -> RegistryChange | None:
+        """Return the changes that an update holds, or None if some are missing."""
+        if not update.is_listing and (
+            self.revision is None or update.base_revision > self.revision
+        ):
+            return None
+        is_newer = self.revision is None or update.revision > self.revision
+        try:
+            members = NO_MEMBER_CHANGE
+            if update.members and is_newer:
+                members = unpack(update.members, MemberChange)
+            change = None
+            if update.change and update.version > self.version:
+                change = unpack(update.change, ConfigurationChange)
+        except FeedContentError as error:
+            self.log.write("update_malformed", peer=update.reader, error=error)
+            return None
+        configuration = None
+        if change is not None:
+            configuration = apply_change(self.configuration, change)
+            if configuration is None:
+                return None
+        is_listing = update.is_listing and is_newer
+        return RegistryChange(
+            base_revision=None if is_listing else update.base_revision,
+            revision=update.revision,
+            upstreams=members.upstreams,
+            removed=members.removed,
+            configuration=configuration,
+        )
+
+    def request_listing(self, reply: Callable[[PeerFeedRequest], None]) -> None:
+        """Ask a reader for a listing, unless one was asked for just now."""
+        now = self.loop.time()
+        if now - self.requested_at < REQUEST_INTERVAL_S:
+            return
+        self.requested_at = now
+        reply(PeerFeedRequest(version=self.version))
+
+    def take(self, change: RegistryChange) -> None:
+        """Take over changes."""
+        now = self.loop.time()
+        is_changed = bool(change.upstreams or change.removed)
+        if change.base_revision is None:
+            is_changed = True
+            self.membership.replace_all(change.upstreams, now)
+        elif is_changed:
+            self.log_changes(change)
+            self.membership.update(change.upstreams, change.removed, now)
+        self.revision = max(self.revision or 0, change.revision)
+        if change.configuration is not None:
+            self.take_configuration(change.configuration)
+        if is_changed:
+            self.on_membership_change()
+
+    def take_configuration(self, configuration: TrafficConfiguration) -> None:
+        """Put a configuration in force, unless it is not newer."""
+        if configuration.version <= self.version:
+            return
+        self.configuration = configuration
+        self.packed_configuration = b""
+        self.apply(configuration)
+
+    def log_changes(self, change: RegistryChange) -> None:
+        """Log the upstreams that appear, leave or change their state."""
+        known = self.membership.upstreams
+        for upstream in change.upstreams:
+            former = known.get(upstream.upstream_id)
+            if former is not None and former.state is upstream.state:
+                continue
+            self.log.write(
+                "upstream_changed",
+                upstream=upstream.upstream_id,
+                state=upstream.state.value,
+                address=upstream.address,
+                revision=change.revision,
+            )
+        for upstream_id in change.removed:
+            self.log.write(
+                "upstream_removed", upstream=upstream_id, revision=change.revision
+            )
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -9,12 +9,13 @@
 from foxtailway.common.clock import MonotonicClock
 from foxtailway.sidecar.crash_guard import CrashGuard
 from foxtailway.sidecar.dispatcher import RequestDispatcher
+from foxtailway.sidecar.feed_exchange import FeedExchange
 from foxtailway.sidecar.http_listener import HttpListener
 from foxtailway.sidecar.http_message import HeaderNames
 from foxtailway.sidecar.log import EventLog
 from foxtailway.sidecar.metrics import MetricsHandler, SidecarMetrics
 from foxtailway.sidecar.peer_listener import PeerListener
-from foxtailway.sidecar.peer_message import PeerCrash, PeerUpdate
+from foxtailway.sidecar.peer_message import PeerCrash
 from foxtailway.sidecar.peer_pool import PeerPool
 from foxtailway.sidecar.peer_stream import make_peer_codec
 from foxtailway.sidecar.ready import ReadyHandler
@@ -22,11 +23,11 @@
 from foxtailway.sidecar.upstream_pool import UpstreamPool
 from foxtailway.sidecar.upstream_runner import UpstreamRunner
 from foxtailway.traffic.configuration import TrafficConfiguration
-from foxtailway.traffic.feeding import FeedRoles
+from foxtailway.traffic.feeding import FeedRoles, FeedTimes
 from foxtailway.traffic.membership import Membership
 from foxtailway.traffic.selection import UpstreamSelector
 
-__all__ = ["SidecarNode", "StopTimes"]
+__all__ = ["SidecarNode", "StopTimes", "wait_until_idle"]
 
 TICK_S = 0.1
 POLL_S = 0.02
@@ -83,8 +84,11 @@
         self.exit_stack = AsyncExitStack()
         self.is_stopping = False
         self.membership = Membership()
-        self.roles = FeedRoles(address=settings.upstream.address)
-        self.update_handler: Callable[[PeerUpdate], None] | None = None
+        self.roles = FeedRoles(
+            address=settings.upstream.address,
+            capacity=settings.capacity,
+            times=FeedTimes(apply_s=settings.apply_s),
+        )
         codec = make_peer_codec()
         self.selector = UpstreamSelector(
             zone=settings.zone,
@@ -93,7 +97,20 @@
         )
         self.guard = CrashGuard(host_id=settings.host_id, clock=MonotonicClock())
         self.peers = PeerPool(
-            port=settings.peer_listener.port, codec=codec, guard=self.guard, log=log
+            port=settings.peer_listener.port,
+            codec=codec,
+            guard=self.guard,
+            on_feed_request=self.serve_listing,
+            log=log,
+        )
+        self.exchange = FeedExchange(
+            address=settings.upstream.address,
+            membership=self.membership,
+            roles=self.roles,
+            peers=self.peers,
+            apply=self.apply,
+            on_membership_change=self.membership_changed,
+            log=log,
         )
         self.runner = UpstreamRunner(
             names=names,
@@ -111,7 +128,7 @@
             runner=self.runner,
             codec=codec,
             address=settings.peer_listener.address,
-            on_update=self.receive_update,
+            on_update=self.exchange.receive,
             log=log,
         )
         self.metrics = SidecarMetrics(read_gauges=self.read_gauges)
@@ -167,10 +184,7 @@
         return not self.is_stopping and self.dispatcher.configuration is not None
 
     def apply(self, configuration: TrafficConfiguration) -> None:
-        """Put a configuration in force, unless it is not newer."""
-        current = self.dispatcher.configuration
-        if current is not None and configuration.version <= current.version:
-            return
+        """Put a configuration in force."""
         self.dispatcher.apply(configuration)
         self.client_listener.limits = configuration.limits
         self.log.write(
@@ -210,6 +224,9 @@
     def reconfigure(self, settings: SidecarSettings) -> None:
         """Take over changed settings; listeners keep their addresses."""
         self.settings = settings
+        self.roles.capacity = settings.capacity
+        self.roles.times = FeedTimes(apply_s=settings.apply_s)
+        self.membership_changed()
         self.selector.zone = settings.zone
         self.selector.zone_regions = settings.zone_regions
         self.dispatcher.reconfigure(
@@ -219,16 +236,10 @@
             retry_window_s=settings.retry_window_s,
         )
 
-    def receive_update(self, update: PeerUpdate) -> None:
-        """Hand an update of a reader to whoever follows the store."""
-        if self.update_handler is not None:
-            self.update_handler(update)
-
-    def send_update(self, update: PeerUpdate) -> None:
-        """Pass an update on to the nodes that this one feeds."""
+    def serve_listing(self, address: str) -> None:
+        """Send all that is known to a sidecar that misses changes."""
         if not self.is_stopping:
-            for address in self.roles.followers:
-                self.peers.send(address, update)
+            self.exchange.serve(address)
 
     def membership_changed(self) -> None:
         """Drop what is known of upstreams that are gone and choose readers."""
@@ -252,10 +263,7 @@
         await asyncio.sleep(times.close_s - times.goodbye_s)
         self.client_listener.close_idle()
         self.runner.is_stopping = True
-        for _ in range(int((times.end_s - times.close_s) / POLL_S)):
-            if not self.n_in_flight:
-                break
-            await asyncio.sleep(POLL_S)
+        await wait_until_idle(lambda: self.n_in_flight, self.dispatcher.ends_at)
         self.ticker.cancel()
         await self.exit_stack.aclose()
 
@@ -263,3 +271,10 @@
     def n_in_flight(self) -> int:
         """Requests of clients and peers that are not finished."""
         return self.client_listener.n_answering + self.peer_listener.n_running
+
+
+async def wait_until_idle(count_in_flight: Callable[[], int], ends_at: float) -> None:
+    """Return when nothing is in flight, at `ends_at` (loop time) at the latest."""
+    loop = asyncio.get_running_loop()
+    while count_in_flight() and loop.time() < ends_at:  # noqa: ASYNC110 (no event)
+        await asyncio.sleep(POLL_S)
--- a/foxtailway/sidecar/peer_listener.py
+++ b/foxtailway/sidecar/peer_listener.py
@@ -37,7 +37,7 @@
     address : str
         Address of this host, named when it says goodbye.
     on_update : callable
-        Called with each update of a reader.
+        Called with each update of a reader and a function that answers it.
     log : EventLog
         Receiver of events.
     """
@@ -48,7 +48,7 @@
         runner: UpstreamRunner,
         codec: MessagePlans,
         address: str,
-        on_update: Callable[[PeerUpdate], None],
+        on_update: Callable[[PeerUpdate, Callable[[object], None]], None],
         log: EventLog,
     ) -> None:
         self.on_update = on_update
@@ -93,7 +93,7 @@
                 if task is not None:
                     task.cancel()
             case PeerUpdate():
-                self.on_update(message)
+                self.on_update(message, stream.send)
             case PeerPing():
                 stream.send(PeerPong(sequence=message.sequence))
             case _:
--- a/foxtailway/sidecar/peer_message.py
+++ b/foxtailway/sidecar/peer_message.py
@@ -10,8 +10,8 @@
     "PeerAnswer",
     "PeerCancel",
     "PeerCrash",
+    "PeerFeedRequest",
     "PeerGoodbye",
-    "PeerItem",
     "PeerPing",
     "PeerPong",
     "PeerRefusal",
@@ -161,46 +161,54 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class PeerItem:
-    """Hold a changed key of the store.
+class PeerUpdate:
+    """Pass on what a reader learned from the store.
 
     Parameters
     ----------
-    key : str
-        Key.
-    revision : int
-        Revision of the change.
-    is_removed : bool
-        Whether the key was removed.
-    content : bytes
-        Value, compressed with zlib; empty when removed or undecodable.
+    reader : str
+        Address of the reader.
+    rank : int
+        Rank of the reader among those of its region.
+    base_revision, revision : int
+        The update holds all changes behind the first up to the second revision.
+    is_listing : bool
+        Whether the update holds everything up to `revision` instead.
+    version : int
+        Version of the configuration that the reader has; 0 for none.
+    age_ms : int
+        Time since the store was known to have nothing newer, in milliseconds.
+    is_recovering : bool
+        Whether the store failed a moment ago, so that entries may be missing
+        from it.
+    members, change : bytes
+        `MemberChange` and `ConfigurationChange` as packed by
+        `foxtailway.sidecar.feed_content`; empty when nothing has changed.
     """
 
-    key: str
+    reader: str
+    rank: int
+    base_revision: int
     revision: int
-    is_removed: bool
-    content: bytes = field(repr=False)
+    is_listing: bool
+    version: int
+    age_ms: int
+    is_recovering: bool
+    members: bytes = field(repr=False)
+    change: bytes = field(repr=False)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class PeerUpdate:
-    """Pass on what a reader learned from the store.
+class PeerFeedRequest:
+    """Ask a reader for a listing, since changes are missing.
 
     Parameters
     ----------
-    base_revision, revision : int
-        The items are all changes behind the first up to the second revision,
-        but for versions of a configuration that a later item replaces.
-    age_ms : int
-        Time since the store was known to have nothing newer, in milliseconds.
-    items : tuple of PeerItem
-        Changes, in order.
+    version : int
+        Version of the configuration that the sender has; 0 for none.
     """
 
-    base_revision: int
-    revision: int
-    age_ms: int
-    items: tuple[PeerItem, ...]
+    version: int
 
 
 PEER_MESSAGE_TYPES = (
@@ -213,4 +221,5 @@
     PeerGoodbye,
     PeerCrash,
     PeerUpdate,
+    PeerFeedRequest,
 )
--- a/foxtailway/sidecar/peer_pool.py
+++ b/foxtailway/sidecar/peer_pool.py
@@ -1,6 +1,7 @@
 """Streams to the sidecars beside other upstreams."""
 
 import asyncio
+from collections.abc import Callable, Iterable
 from itertools import count
 from typing import Any
 
@@ -18,6 +19,7 @@
     PeerAnswer,
     PeerCancel,
     PeerCrash,
+    PeerFeedRequest,
     PeerGoodbye,
     PeerPing,
     PeerPong,
@@ -59,6 +61,8 @@
         Codec of the streams.
     guard : CrashGuard
         Learns of requests that crash upstreams.
+    on_feed_request : callable
+        Called with the address of a peer that asks for a listing.
     log : EventLog
         Receiver of events.
     """
@@ -70,9 +74,11 @@
         port: int,
         codec: MessagePlans,
         guard: CrashGuard,
+        on_feed_request: Callable[[str], None],
         log: EventLog,
     ) -> None:
         self.guard = guard
+        self.on_feed_request = on_feed_request
         self.address = address
         self.port = port
         self.codec = codec
@@ -83,6 +89,8 @@
         self.connecting: asyncio.Task | None = None
         self.blocked_until = float("-inf")
         self.prober: asyncio.TimerHandle | None = None
+        self.probe_due_at = float("inf")
+        self.resumed_at = float("-inf")
 
     async def call(self, call: UpstreamCall) -> CallResult:
         """Send a call and wait for its result."""
@@ -114,11 +122,11 @@
         finally:
             calls.pop(call_id, None)
 
-    def send(self, message: object) -> None:
+    def write(self, encoded: bytes) -> None:
         """Send a message on an open stream, or open one for the next message."""
         stream = next(iter(self.streams), None)
         if stream is not None:
-            stream.send(message)
+            stream.write(encoded)
         elif self.blocked_until <= self.loop.time():
             self.start_connecting()
 
@@ -177,6 +185,8 @@
                 self.blocked_until = self.loop.time() + GOODBYE_S
             case PeerCrash():
                 self.guard.record_crash(message.fingerprint, message.upstream_id)
+            case PeerFeedRequest():
+                self.on_feed_request(self.address)
             case PeerPong():
                 return
             case _:
@@ -193,18 +203,25 @@
     def start_prober(self) -> None:
         """Watch the streams while calls wait."""
         if self.prober is None:
-            self.prober = self.loop.call_later(PROBE_INTERVAL_S, self.probe)
+            self.probe_due_at = self.loop.time() + PROBE_INTERVAL_S
+            self.prober = self.loop.call_at(self.probe_due_at, self.probe)
 
     def probe(self) -> None:
-        """Ask silent peers for a sign of life and give up dead streams."""
+        """Ask silent peers for a sign of life and give up dead streams.
+
+        After this process was held up, answers may wait unread, so silence is
+        measured anew from then on.
+        """
         self.prober = None
         now = self.loop.time()
+        if now - self.probe_due_at > PROBE_INTERVAL_S:
+            self.resumed_at = now
         for stream, calls in list(self.streams.items()):
             if not calls:
                 continue
             self.start_prober()
             oldest = min(pending.sent_at for pending in calls.values())
-            silence_s = now - max(stream.heard_at, oldest)
+            silence_s = now - max(stream.heard_at, oldest, self.resumed_at)
             if silence_s > LOST_AFTER_S:
                 self.blocked_until = now + GOODBYE_S
                 stream.close()
@@ -267,14 +284,23 @@
         Codec of the streams.
     guard : CrashGuard
         Learns of requests that crash upstreams.
+    on_feed_request : callable
+        Called with the address of a peer that asks for a listing.
     log : EventLog
         Receiver of events.
     """
 
     def __init__(
-        self, *, port: int, codec: MessagePlans, guard: CrashGuard, log: EventLog
+        self,
+        *,
+        port: int,
+        codec: MessagePlans,
+        guard: CrashGuard,
+        on_feed_request: Callable[[str], None],
+        log: EventLog,
     ) -> None:
         self.guard = guard
+        self.on_feed_request = on_feed_request
         self.port = port
         self.codec = codec
         self.log = log
@@ -286,7 +312,13 @@
 
     def send(self, address: str, message: object) -> None:
         """Send a message to the sidecar at an address, if it can be reached."""
-        self.find_link(address).send(message)
+        self.broadcast((address,), message)
+
+    def broadcast(self, addresses: Iterable[str], message: object) -> None:
+        """Send a message to the sidecars that can be reached."""
+        encoded = self.codec.encode(message)
+        for address in addresses:
+            self.find_link(address).write(encoded)
 
     def find_link(self, address: str) -> PeerLink:
         """Return the link to an address."""
@@ -297,6 +329,7 @@
                 port=self.port,
                 codec=self.codec,
                 guard=self.guard,
+                on_feed_request=self.on_feed_request,
                 log=self.log,
             )
             self.links[address] = link
--- a/foxtailway/sidecar/peer_stream.py
+++ b/foxtailway/sidecar/peer_stream.py
@@ -14,6 +14,9 @@
 __all__ = ["PeerStream", "StreamOwner", "make_peer_codec"]
 
 MAX_MESSAGE_SIZE = 80_000_000
+# Buffer of a new stream, in bytes; it grows with the messages. The default of the
+# library, 16 KiB, adds up over the streams to all peers.
+INITIAL_BUFFER_SIZE = 1_024
 # Keep-alive probes that expose a dead peer within about three seconds.
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
@@ -69,7 +72,9 @@
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
         self.unpacker = msgpack.Unpacker(
-            max_buffer_size=MAX_MESSAGE_SIZE, strict_map_key=False
+            read_size=INITIAL_BUFFER_SIZE,
+            max_buffer_size=MAX_MESSAGE_SIZE,
+            strict_map_key=False,
         )
         self.heard_at = self.loop.time()
         self.peer = ""
@@ -102,8 +107,13 @@
 
     def send(self, message: object) -> None:
         """Send a message; nothing happens when the stream has ended."""
+        if self.is_open:
+            self.write(self.codec.encode(message))
+
+    def write(self, encoded: bytes) -> None:
+        """Send an encoded message; nothing happens when the stream has ended."""
         if self.is_open and not self.transport.is_closing():
-            self.transport.write(self.codec.encode(message))
+            self.transport.write(encoded)
 
     def close(self) -> None:
         """Close the stream at once; idempotent."""
--- a/foxtailway/sidecar/settings.py
+++ b/foxtailway/sidecar/settings.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from foxtailway.traffic.feeding import HostCapacity
+
 __all__ = ["Endpoint", "SidecarSettings"]
 
 
@@ -28,6 +30,10 @@
         Where clients, other sidecars and the readiness check connect.
     upstream, store : Endpoint
         The upstream on this host and the store of the configuration.
+    capacity : HostCapacity
+        What the host can carry.
+    apply_s : float
+        Time within which a configuration has to be in force, in seconds.
     grace_s : float
         Time between SIGTERM and SIGKILL, in seconds.
     retry_ratio, retry_slack, retry_window_s : float
@@ -43,6 +49,8 @@
     ready_listener: Endpoint
     upstream: Endpoint
     store: Endpoint
+    capacity: HostCapacity
+    apply_s: float
     grace_s: float
     retry_ratio: float
     retry_slack: float
--- /dev/null
+++ b/foxtailway/sidecar/tests/test_feed_exchange.py
@@ -0,0 +1,233 @@
+from collections.abc import Callable
+from unittest import IsolatedAsyncioTestCase
+
+from foxtailway.sidecar.feed_content import FeedContentError, MemberChange, pack, unpack
+from foxtailway.sidecar.feed_exchange import (
+    LISTING_PATIENCE_S,
+    REQUEST_INTERVAL_S,
+    FeedExchange,
+)
+from foxtailway.sidecar.peer_message import PeerFeedRequest, PeerUpdate
+from foxtailway.sidecar.tests.support import make_log
+from foxtailway.traffic.configuration import ClientLimits, TrafficConfiguration
+from foxtailway.traffic.configuration_change import ConfigurationChange
+from foxtailway.traffic.feeding import FeedRoles, FeedTimes, HostCapacity
+from foxtailway.traffic.membership import Membership, Upstream, UpstreamState
+from foxtailway.traffic.registry_change import RegistryChange
+from foxtailway.traffic.tests.builders import make_route, make_upstream
+
+N_HOSTS = 6
+ADDRESSES = [f"10.0.0.{number}" for number in range(N_HOSTS)]
+UPSTREAMS = tuple(
+    make_upstream(f"u-{number}", address=address)
+    for number, address in enumerate(ADDRESSES)
+)
+
+
+def make_configuration(version: int) -> TrafficConfiguration:
+    kept = [make_route(prefix=f"/{number}/") for number in range(20)]
+    routes = (*kept, make_route(prefix=f"/only-{version}/"))
+    return TrafficConfiguration(version=version, routes=routes, limits=ClientLimits())
+
+
+class Network:
+    """Deliver what the nodes of one region send each other, at once."""
+
+    def __init__(self) -> None:
+        self.nodes = {address: Node(address, self) for address in ADDRESSES}
+        self.unreachable: set[str] = set()
+        self.requests: list[str] = []
+        self.n_bytes = 0
+
+    def deliver(self, address: str, update: PeerUpdate) -> None:
+        if address in self.unreachable:
+            return
+        self.n_bytes += len(update.members) + len(update.change)
+
+        def reply(_request: PeerFeedRequest) -> None:
+            self.requests.append(address)
+            self.nodes[update.reader].exchange.serve(address)
+
+        self.nodes[address].exchange.receive(update, reply)
+
+
+class Node:
+    def __init__(self, address: str, network: Network) -> None:
+        self.address = address
+        self.network = network
+        self.applied: list[int] = []
+        self.membership = Membership()
+        self.roles = FeedRoles(
+            address=address,
+            capacity=HostCapacity(link_mbps=100.0, n_cores=1.0),
+            times=FeedTimes(apply_s=2.0),
+        )
+        self.exchange = FeedExchange(
+            address=address,
+            membership=self.membership,
+            roles=self.roles,
+            peers=self,
+            apply=lambda configuration: self.applied.append(configuration.version),
+            on_membership_change=self.choose_roles,
+            log=make_log(),
+        )
+
+    def choose_roles(self) -> None:
+        self.roles.update(UPSTREAMS, "zone-a", {"zone-a": "east"})
+
+    def broadcast(self, addresses: tuple[str, ...], update: PeerUpdate) -> None:
+        for address in addresses:
+            self.network.deliver(address, update)
+
+    def send(self, address: str, update: PeerUpdate) -> None:
+        self.network.deliver(address, update)
+
+
+def make_change(
+    base: int | None,
+    revision: int,
+    *,
+    upstreams: tuple[Upstream, ...] = (),
+    removed: tuple[str, ...] = (),
+    version: int | None = None,
+) -> RegistryChange:
+    return RegistryChange(
+        base_revision=base,
+        revision=revision,
+        upstreams=upstreams,
+        removed=removed,
+        configuration=None if version is None else make_configuration(version),
+    )
+
+
+class FeedExchangeTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.network = Network()
+        self.nodes = list(self.network.nodes.values())
+        for node in self.nodes:
+            node.exchange.take(make_change(None, 10, upstreams=UPSTREAMS, version=1))
+            node.roles.confirm(node.exchange.loop.time())
+        self.reader = next(node for node in self.nodes if node.roles.rank == 0)
+        self.followers = [node for node in self.nodes if node is not self.reader]
+
+    def assert_all(self, read: Callable[[Node], object], expected: object) -> None:
+        self.assertEqual({read(node) for node in self.nodes}, {expected})
+
+    async def test_change_reaches_every_node_without_a_request(self) -> None:
+        leaving = make_upstream("u-3", state=UpstreamState.DRAINING, sequence=2)
+        self.reader.exchange.learn(
+            make_change(10, 14, upstreams=(leaving,), removed=("u-4",), version=4), 0.0
+        )
+        self.assert_all(lambda node: node.exchange.version, 4)
+        self.assert_all(lambda node: node.exchange.revision, 14)
+        self.assert_all(lambda node: node.membership.is_leaving("u-3"), True)
+        self.assert_all(lambda node: "u-4" in node.membership.upstreams, False)
+        self.assertEqual(self.network.requests, [])
+
+    async def test_routes_that_stay_are_not_sent(self) -> None:
+        self.reader.exchange.learn(make_change(10, 11, version=2), 0.0)
+        changed = self.network.n_bytes
+        self.network.n_bytes = 0
+        for node in self.followers:
+            self.reader.exchange.serve(node.address)
+        self.assertLess(2 * changed, self.network.n_bytes)
+
+    async def test_node_that_missed_an_update_asks_for_a_listing(self) -> None:
+        missing = self.followers[0]
+        missing.exchange.requested_at -= LISTING_PATIENCE_S
+        self.network.unreachable.add(missing.address)
+        self.reader.exchange.learn(
+            make_change(10, 11, removed=("u-4",), version=2), 0.0
+        )
+        self.network.unreachable.clear()
+        self.reader.exchange.learn(make_change(11, 12, version=3), 0.0)
+        self.assertEqual(self.network.requests, [missing.address])
+        self.assertEqual(missing.exchange.version, 3)
+        self.assertNotIn("u-4", missing.membership.upstreams)
+
+    async def test_new_node_gets_everything_from_a_reader_without_a_store(self) -> None:
+        lone = Node(self.followers[0].address, self.network)
+        self.network.nodes[lone.address] = lone
+        self.reader.exchange.repeat_age()
+        self.assertIsNone(lone.exchange.revision)
+        lone.exchange.requested_at -= LISTING_PATIENCE_S
+        self.reader.exchange.repeat_age()
+        self.assertEqual(lone.exchange.version, 1)
+        self.assertEqual(len(lone.membership.upstreams), N_HOSTS)
+
+    async def test_requests_for_a_listing_are_spaced(self) -> None:
+        exchange = FeedExchange(
+            address="10.0.0.99",
+            membership=Membership(),
+            roles=self.reader.roles,
+            peers=self.reader,
+            apply=lambda _configuration: None,
+            on_membership_change=lambda: None,
+            log=make_log(),
+        )
+        requests: list[PeerFeedRequest] = []
+        update = self.reader.exchange.make_update(base_revision=10)
+        exchange.requested_at -= LISTING_PATIENCE_S
+        for _ in range(5):
+            exchange.receive(update, requests.append)
+        self.assertEqual(len(requests), 1)
+        exchange.requested_at -= REQUEST_INTERVAL_S
+        exchange.receive(update, requests.append)
+        self.assertEqual(len(requests), 2)
+
+    async def test_older_version_is_never_applied(self) -> None:
+        self.followers[0].exchange.take(make_change(10, 15, version=9))
+        self.reader.exchange.learn(make_change(10, 14, version=4), 0.0)
+        self.assertEqual(self.followers[0].applied, [1, 9])
+        self.assertEqual(self.followers[1].applied, [1, 4])
+
+    async def test_overtaken_update_undoes_nothing(self) -> None:
+        follower = self.followers[0]
+        back = make_upstream("u-4", born_ms=2_000)
+        follower.exchange.take(make_change(10, 20, upstreams=(back,)))
+        self.reader.exchange.learn(make_change(10, 14, removed=("u-4",)), 0.0)
+        self.assertIn("u-4", follower.membership.upstreams)
+        self.assertEqual(follower.exchange.revision, 20)
+
+    async def test_old_knowledge_confirms_nothing(self) -> None:
+        follower = self.followers[0]
+        confirmed_at = follower.roles.confirmed_at
+        self.reader.exchange.known_at -= 60.0
+        self.reader.exchange.repeat_age()
+        self.assertEqual(follower.roles.confirmed_at, confirmed_at)
+
+    async def test_entries_that_lapsed_in_an_outage_are_kept_for_a_while(self) -> None:
+        now = self.reader.exchange.loop.time()
+        self.reader.membership.registry_failed(now)
+        self.reader.exchange.learn(make_change(10, 11, removed=("u-4",)), 0.0)
+        self.assert_all(lambda node: "u-4" in node.membership.lapsed, True)
+
+    async def test_lapsed_entry_is_not_passed_on_in_a_listing(self) -> None:
+        self.reader.membership.registry_failed(self.reader.exchange.loop.time())
+        self.reader.exchange.learn(make_change(10, 11, removed=("u-4",)), 0.0)
+        lone = Node(self.followers[0].address, self.network)
+        self.network.nodes[lone.address] = lone
+        self.reader.exchange.serve(lone.address)
+        self.assertNotIn("u-4", lone.membership.upstreams)
+
+    async def test_malformed_content_changes_nothing(self) -> None:
+        follower = self.followers[0]
+        update = PeerUpdate(
+            reader="10.0.0.77",
+            rank=0,
+            base_revision=10,
+            revision=12,
+            is_listing=False,
+            version=2,
+            age_ms=0,
+            is_recovering=False,
+            members=b"",
+            change=b"\x00",
+        )
+        follower.exchange.receive(update, lambda _request: None)
+        self.assertEqual(follower.exchange.revision, 10)
+        for data in (b"", b"\x00", b"x" * 40):
+            with self.assertRaises(FeedContentError):
+                unpack(data, MemberChange)
+        with self.assertRaises(FeedContentError):
+            unpack(pack(MemberChange()), ConfigurationChange)
--- a/foxtailway/sidecar/tests/test_peers.py
+++ b/foxtailway/sidecar/tests/test_peers.py
@@ -15,7 +15,7 @@
 from foxtailway.sidecar.crash_guard import CrashGuard
 from foxtailway.sidecar.http_message import Answer
 from foxtailway.sidecar.peer_listener import PeerListener
-from foxtailway.sidecar.peer_message import PeerCrash, PeerUpdate
+from foxtailway.sidecar.peer_message import PeerCrash, PeerFeedRequest, PeerUpdate
 from foxtailway.sidecar.peer_pool import LOST_AFTER_S, SUSPECT_AFTER_S, PeerPool
 from foxtailway.sidecar.peer_stream import make_peer_codec
 from foxtailway.sidecar.tests.support import PATIENCE_S, make_call, make_log, wait_until
@@ -62,15 +62,26 @@
             runner=self.runner,
             codec=codec,
             address="127.0.0.1",
-            on_update=self.updates.append,
+            on_update=self.receive_update,
             log=make_log(),
         )
         await self.listener.listen(port=0)
         self.addCleanup(self.listener.close)
         port = self.listener.server.sockets[0].getsockname()[1]
-        self.pool = PeerPool(port=port, codec=codec, guard=self.guard, log=make_log())
+        self.feed_requests: list[str] = []
+        self.pool = PeerPool(
+            port=port,
+            codec=codec,
+            guard=self.guard,
+            on_feed_request=self.feed_requests.append,
+            log=make_log(),
+        )
         self.addCleanup(self.pool.close)
 
+    def receive_update(self, update: PeerUpdate, reply) -> None:
+        self.updates.append(update)
+        reply(PeerFeedRequest(version=7))
+
     def start_call(self, **changes: object) -> asyncio.Task:
         call = make_call(asyncio.get_running_loop().time(), **changes)
         return asyncio.create_task(self.pool.call("127.0.0.1", call))
@@ -144,8 +155,20 @@
         self.link.probe()
         self.assert_unknown(await once)
 
+    async def test_silence_does_not_count_while_this_process_was_held_up(self) -> None:
+        repeatable = self.start_call()
+        await wait_until(lambda: len(self.runner.calls) == 1)
+        self.silence(SUSPECT_AFTER_S + 0.1)
+        self.link.probe_due_at -= 3 * PATIENCE_S
+        self.link.probe()
+        self.assertFalse(repeatable.done())
+        self.assertEqual(self.link.blocked_until, float("-inf"))
+        self.runner.released.set()
+        self.assertIsInstance(await repeatable, UpstreamAnswer)
+
     def silence(self, duration_s: float) -> None:
         """Let the last sign of life lie some time back."""
+        self.link.resumed_at -= duration_s
         for stream, calls in self.link.streams.items():
             stream.heard_at -= duration_s
             for pending in calls.values():
@@ -160,12 +183,24 @@
         await wait_until(lambda: "f" in suspects)
         await wait_until(lambda: len(suspects["f"].crashed_hosts) == 2)
 
-    async def test_update_reaches_a_peer_without_calls(self) -> None:
-        update = PeerUpdate(base_revision=1, revision=2, age_ms=0, items=())
+    async def test_update_reaches_a_peer_and_its_answer_comes_back(self) -> None:
+        update = PeerUpdate(
+            reader="127.0.0.1",
+            rank=0,
+            base_revision=1,
+            revision=2,
+            is_listing=False,
+            version=3,
+            age_ms=0,
+            is_recovering=False,
+            members=b"",
+            change=b"",
+        )
         self.pool.send("127.0.0.1", update)
         await wait_until(lambda: bool(self.link.streams))
         self.pool.send("127.0.0.1", update)
         await wait_until(lambda: self.updates == [update])
+        await wait_until(lambda: self.feed_requests == ["127.0.0.1"])
 
     async def test_bytes_that_are_no_message_end_the_stream(self) -> None:
         task = self.start_call()
--- a/foxtailway/sidecar/tests/test_whole_path.py
+++ b/foxtailway/sidecar/tests/test_whole_path.py
@@ -3,8 +3,9 @@
 from unittest import IsolatedAsyncioTestCase
 from unittest.mock import patch
 
+from foxtailway.sidecar import node as node_module
 from foxtailway.sidecar import peer_pool
-from foxtailway.sidecar.node import SidecarNode, StopTimes
+from foxtailway.sidecar.node import SidecarNode, StopTimes, wait_until_idle
 from foxtailway.sidecar.settings import Endpoint, SidecarSettings
 from foxtailway.sidecar.tests.support import (
     NAMES,
@@ -16,6 +17,7 @@
     wait_until,
 )
 from foxtailway.traffic.configuration import ClientLimits, TrafficConfiguration
+from foxtailway.traffic.feeding import HostCapacity
 from foxtailway.traffic.tests.builders import make_route, make_upstream
 
 REQUEST = (
@@ -38,6 +40,8 @@
         ready_listener=free,
         upstream=upstream,
         store=free,
+        capacity=HostCapacity(link_mbps=1000.0, n_cores=1.0),
+        apply_s=2.0,
         grace_s=6.0,
         retry_ratio=0.2,
         retry_slack=50.0,
@@ -131,3 +135,29 @@
             await wait_until(lambda: bool(upstream.requests))
             writer.close()
             await wait_until(lambda: self.exit.runner.n_busy == 0)
+
+
+class FakeLoop:
+    """A loop whose sleeps take several times as long as asked."""
+
+    overshoot = 5.0
+
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def time(self) -> float:
+        return self.now
+
+    async def sleep(self, delay_s: float) -> None:
+        self.now += self.overshoot * delay_s
+
+
+class StopTest(IsolatedAsyncioTestCase):
+    async def test_stop_on_a_slow_host_keeps_its_end(self) -> None:
+        loop = FakeLoop()
+        with (
+            patch.object(node_module.asyncio, "sleep", loop.sleep),
+            patch.object(node_module.asyncio, "get_running_loop", lambda: loop),
+        ):
+            await wait_until_idle(lambda: 1, 2.6)
+        self.assertLess(loop.now, 2.6 + loop.overshoot * node_module.POLL_S + 0.001)
--- a/foxtailway/traffic/membership.py
+++ b/foxtailway/traffic/membership.py
@@ -1,5 +1,6 @@
 """Upstreams that exist, as told by a registry that may fail."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -97,6 +98,18 @@
         """Note that the registry could not be read."""
         self.failed_at = now
 
+    def is_recovering(self, now: float) -> bool:
+        """Whether entries may be missing because the registry failed."""
+        return now - self.failed_at < SUSPICION_S
+
+    def list_registered(self) -> tuple[Upstream, ...]:
+        """Return the upstreams whose entry exists."""
+        return tuple(
+            upstream
+            for upstream_id, upstream in self.upstreams.items()
+            if upstream_id not in self.lapsed
+        )
+
     def put(self, upstream: Upstream) -> None:
         """Add an upstream or replace what was known of it."""
         self.store(upstream)
@@ -110,11 +123,21 @@
         if known is None or not upstream.is_older_than(known):
             self.upstreams[upstream.upstream_id] = upstream
 
+    def update(
+        self, upstreams: Iterable[Upstream], removed: Iterable[str], now: float
+    ) -> None:
+        """Take over reports and removals of entries."""
+        for upstream in upstreams:
+            self.store(upstream)
+        for upstream_id in removed:
+            self.remove(upstream_id, now)
+        self.rebuild()
+
     def remove(self, upstream_id: str, now: float) -> None:
         """Remove an upstream whose entry is gone."""
         if upstream_id not in self.upstreams:
             return
-        if now - self.failed_at < SUSPICION_S:
+        if self.is_recovering(now):
             self.lapsed.setdefault(upstream_id, now + REGISTRATION_GRACE_S)
             return
         self.forget(upstream_id)
--- a/foxtailway/traffic/tests/test_feeding.py
+++ b/foxtailway/traffic/tests/test_feeding.py
@@ -1,49 +1,88 @@
 from unittest import TestCase
 
-from foxtailway.traffic.feeding import MAX_CONFIRMED_AGE_S, N_READERS, FeedRoles
+from foxtailway.traffic.feeding import FeedRoles, FeedTimes, HostCapacity
 from foxtailway.traffic.tests.builders import make_upstream
 
 REGIONS = {"zone-a": "east", "zone-b": "east", "zone-c": "west"}
+N_EAST = 8
 UPSTREAMS = [
-    make_upstream(f"u-{number}", address=f"10.0.0.{number}", zone=zone)
-    for number, zone in enumerate(("zone-a", "zone-b", "zone-a", "zone-b", "zone-c"))
-]
+    make_upstream(
+        f"u-{number}", address=f"10.0.0.{number}", zone=f"zone-{'ab'[number % 2]}"
+    )
+    for number in range(N_EAST)
+] + [make_upstream("u-west", address="10.0.0.50", zone="zone-c")]
+ABLE = HostCapacity(link_mbps=100.0, n_cores=1.0)
+TIMES = FeedTimes(apply_s=2.0)
 
 
-def make_roles(number: int) -> FeedRoles:
-    roles = FeedRoles(address=f"10.0.0.{number}")
-    roles.update(UPSTREAMS, UPSTREAMS[number].zone, REGIONS)
+def make_roles(address: str, capacity: HostCapacity = ABLE) -> FeedRoles:
+    roles = FeedRoles(address=address, capacity=capacity, times=TIMES)
+    zones = {upstream.address: upstream.zone for upstream in UPSTREAMS}
+    roles.update(UPSTREAMS, zones.get(address, "zone-a"), REGIONS)
+    roles.confirm(0.0)
     return roles
 
 
+def make_region() -> list[FeedRoles]:
+    return [make_roles(f"10.0.0.{number}") for number in range(N_EAST)]
+
+
 class FeedRolesTest(TestCase):
-    def test_nodes_of_a_region_agree(self) -> None:
-        roles = [make_roles(number) for number in range(4)]
-        self.assertEqual(len({item.readers for item in roles}), 1)
-        readers = [item for item in roles if item.is_reader]
-        self.assertEqual(len(readers), N_READERS)
-
-    def test_every_node_that_does_not_read_is_fed_by_each_reader(self) -> None:
-        roles = [make_roles(number) for number in range(4)]
-        others = {item.address for item in roles if not item.is_reader}
-        for reader in (item for item in roles if item.is_reader):
-            self.assertEqual(set(reader.followers), others)
+    def test_nodes_of_a_region_agree_on_one_reader(self) -> None:
+        region = make_region()
+        self.assertEqual({item.rank for item in region}, set(range(N_EAST)))
+        readers = [item for item in region if item.is_reader(0.1)]
+        self.assertEqual([item.rank for item in readers], [0])
+
+    def test_every_other_host_of_the_region_is_fed(self) -> None:
+        reader = next(item for item in make_region() if item.is_reader(0.1))
+        others = {f"10.0.0.{number}" for number in range(N_EAST)} - {reader.address}
+        self.assertEqual(set(reader.peers), others)
 
     def test_region_of_one_host_reads_itself(self) -> None:
-        roles = make_roles(4)
-        self.assertTrue(roles.is_reader)
-        self.assertEqual(roles.followers, ())
+        roles = make_roles("10.0.0.50")
+        self.assertTrue(roles.is_reader(0.1))
+        self.assertEqual(roles.peers, ())
+
+    def test_next_node_takes_over_from_a_silent_reader(self) -> None:
+        region = {item.rank: item for item in make_region()}
+        at = TIMES.take_over_s(1.5 / (2 * N_EAST))
+        self.assertTrue(region[1].is_reader(at))
+        self.assertFalse(region[2].is_reader(at))
+
+    def test_reader_gives_way_to_a_better_one_that_returned(self) -> None:
+        second = next(item for item in make_region() if item.rank == 1)
+        second.confirm_by(9.0, "10.0.0.9", 2)
+        self.assertTrue(second.is_reader(10.0))
+        second.confirm_by(10.0, "10.0.0.9", 0)
+        self.assertFalse(second.is_reader(10.1))
+
+    def test_weak_hosts_read_only_while_no_other_does(self) -> None:
+        for weak in (
+            HostCapacity(link_mbps=3.5, n_cores=2.0),
+            HostCapacity(link_mbps=70.0, n_cores=0.4),
+        ):
+            roles = make_roles("10.0.0.1", weak)
+            self.assertGreaterEqual(roles.rank, N_EAST)
+            self.assertTrue(roles.is_reader(100.0))
+            roles.confirm_by(100.0, "10.0.0.9", N_EAST - 1)
+            self.assertFalse(roles.is_reader(100.1))
+
+    def test_somebody_takes_over_before_others_read_for_themselves(self) -> None:
+        for apply_s in (0.5, 2.0, 10.0):
+            times = FeedTimes(apply_s=apply_s)
+            ages = [times.confirm_s, times.take_over_s(0.0), times.take_over_s(1.0)]
+            self.assertEqual(ages, sorted(ages))
+            self.assertLess(ages[-1], times.unfed_s)
+            self.assertLess(times.unfed_s, apply_s)
 
     def test_follower_reads_itself_when_its_confirmation_is_old(self) -> None:
-        follower = next(
-            roles for roles in map(make_roles, range(4)) if not roles.is_reader
-        )
-        self.assertFalse(follower.is_fed(0.0))
-        follower.confirm(10.0)
-        self.assertTrue(follower.is_fed(10.0 + MAX_CONFIRMED_AGE_S - 0.1))
-        self.assertFalse(follower.is_fed(10.01 + MAX_CONFIRMED_AGE_S))
+        follower = make_region()[0]
+        follower.confirm_by(10.0, "10.0.0.77", 0)
+        self.assertTrue(follower.is_fed(10.1))
+        self.assertFalse(follower.is_fed(10.01 + TIMES.unfed_s))
 
     def test_host_that_is_not_registered_is_no_reader(self) -> None:
-        roles = FeedRoles(address="10.0.0.99")
-        roles.update(UPSTREAMS, "zone-a", REGIONS)
-        self.assertFalse(roles.is_reader)
+        roles = make_roles("10.0.0.99")
+        self.assertFalse(roles.is_reader(100.0))
+        self.assertFalse(roles.is_fed(100.0))
