Send slow idempotent requests to a second upstream

Ruled out: refusals (none), slots (no overload). Change: an idempotent request whose attempt is slow, or whose node is silent, is sent to a second upstream with a free slot, within half of the retry budget; the first answer counts (traffic.hedging, sidecar.carriage). Offers and the planned request get modules of their own.

--- a/foxtailway/sidecar/call.py
+++ b/foxtailway/sidecar/call.py
@@ -1,5 +1,6 @@
 """Calls on their way from the entry to an upstream, and what comes back."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from foxtailway.routing.outcome import Outcome, RefusalReason
@@ -32,6 +33,8 @@
         Start of the request and its identifier.
     head, body : bytes
         End-to-end header lines and whole body.
+    on_suspicion : callable or None, default=None
+        Called when the node beside the upstream has been silent for a while.
     """
 
     upstream_id: str
@@ -46,6 +49,7 @@
     request_id: str
     head: bytes = field(repr=False)
     body: bytes = field(repr=False)
+    on_suspicion: Callable[[], None] | None = field(default=None, repr=False)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -14,6 +14,7 @@
 from foxtailway.sidecar.http_message import HeaderNames
 from foxtailway.sidecar.log import EventLog
 from foxtailway.sidecar.metrics import MetricsHandler, SidecarMetrics
+from foxtailway.sidecar.offer import OfferDesk
 from foxtailway.sidecar.peer_listener import PeerListener
 from foxtailway.sidecar.peer_message import PeerCrash
 from foxtailway.sidecar.peer_pool import PeerPool
@@ -135,11 +136,15 @@
         self.dispatcher = RequestDispatcher(
             names=names,
             service=settings.service,
-            address=settings.upstream.address,
-            membership=self.membership,
-            selector=self.selector,
-            peers=self.peers,
-            runner=self.runner,
+            desk=OfferDesk(
+                address=settings.upstream.address,
+                membership=self.membership,
+                selector=self.selector,
+                peers=self.peers,
+                runner=self.runner,
+                guard=self.guard,
+                log=log,
+            ),
             guard=self.guard,
             retry_ratio=settings.retry_ratio,
             retry_slack=settings.retry_slack,
--- /dev/null
+++ b/foxtailway/sidecar/offer.py
@@ -0,0 +1,217 @@
+"""Offers of requests to upstreams."""
+
+import asyncio
+from collections.abc import Callable
+
+from foxtailway.routing.outcome import RefusalReason
+from foxtailway.sidecar.call import (
+    CallRefusal,
+    CallResult,
+    UpstreamAnswer,
+    UpstreamCall,
+)
+from foxtailway.sidecar.crash_guard import CrashGuard
+from foxtailway.sidecar.log import EventLog
+from foxtailway.sidecar.peer_pool import PeerPool
+from foxtailway.sidecar.planned_request import PlannedRequest
+from foxtailway.sidecar.upstream_runner import UpstreamRunner
+from foxtailway.traffic.membership import Membership, Upstream
+from foxtailway.traffic.selection import UpstreamSelector, UpstreamView
+
+__all__ = ["OfferDesk"]
+
+LOWEST_FAILURE_STATUS = 500
+
+
+class OfferDesk:
+    """Offer a request to one upstream and learn from what comes back.
+
+    Parameters
+    ----------
+    address : str
+        IP address of this host.
+    membership : Membership
+        Upstreams that exist.
+    selector : UpstreamSelector
+        Chooses among them.
+    peers : PeerPool
+        Streams to other hosts.
+    runner : UpstreamRunner
+        Runs requests for the upstream on this host.
+    guard : CrashGuard
+        Knows the requests that crash upstreams.
+    log : EventLog
+        Receiver of decisions.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        membership: Membership,
+        selector: UpstreamSelector,
+        peers: PeerPool,
+        runner: UpstreamRunner,
+        guard: CrashGuard,
+        log: EventLog,
+    ) -> None:
+        self.address = address
+        self.membership = membership
+        self.selector = selector
+        self.peers = peers
+        self.runner = runner
+        self.guard = guard
+        self.log = log
+        self.loop = asyncio.get_running_loop()
+
+    def choose(
+        self, planned: PlannedRequest, excluded: frozenset[str]
+    ) -> UpstreamView | None:
+        """Return the upstream for the next offer, or None."""
+        return self.selector.choose(
+            route=planned.route,
+            upstreams=self.membership.list_ready(planned.service),
+            excluded=excluded,
+            due_at=planned.due_at,
+            deadline=planned.deadline,
+            now=self.loop.time(),
+        )
+
+    def choose_free(
+        self, planned: PlannedRequest, excluded: frozenset[str]
+    ) -> UpstreamView | None:
+        """Return an upstream with a free slot for a second attempt, or None."""
+        view = self.choose(planned, excluded)
+        if view is None or not self.selector.is_free(view, self.loop.time()):
+            return None
+        return view
+
+    async def offer(
+        self,
+        planned: PlannedRequest,
+        view: UpstreamView,
+        head: bytes,
+        *,
+        can_wait: bool = True,
+        on_suspicion: Callable[[], None] | None = None,
+    ) -> CallResult:
+        """Send a request to the node beside an upstream.
+
+        Parameters
+        ----------
+        planned : PlannedRequest
+            The request.
+        view : UpstreamView
+            The upstream.
+        head : bytes
+            Header lines for the upstream.
+        can_wait : bool, default=True
+            Whether the request may queue for a slot.
+        on_suspicion : callable or None, default=None
+            Called when the node has been silent for a while.
+        """
+        call = make_call(
+            planned,
+            view.upstream,
+            head,
+            can_wait=can_wait and self.selector.is_in_region(view.upstream.zone),
+            on_suspicion=on_suspicion,
+        )
+        started = self.loop.time()
+        self.selector.sent(view)
+        try:
+            if view.upstream.address == self.address:
+                result = await self.runner.run(call)
+            else:
+                result = await self.peers.call(view.upstream.address, call)
+        except asyncio.CancelledError:
+            self.learn_of_slowness(planned, view, started)
+            raise
+        finally:
+            self.selector.finished(view)
+        self.learn(planned, view, result)
+        if isinstance(result, CallRefusal):
+            self.log_offer(planned, view, result)
+        return result
+
+    def learn(
+        self, planned: PlannedRequest, view: UpstreamView, result: CallResult
+    ) -> None:
+        """Record what a result tells of the upstream."""
+        now = self.loop.time()
+        self.selector.record_report(view, result.load, now)
+        if isinstance(result, UpstreamAnswer):
+            request = planned.request
+            self.guard.record_success(request.method, request.target, request.body)
+            if result.answer.status < LOWEST_FAILURE_STATUS:
+                self.selector.record_run(
+                    view, planned.route.name, result.run_time_s, now
+                )
+            else:
+                self.selector.record_failure(view, now)
+            return
+        if result.reason in (
+            RefusalReason.NO_ENDPOINT,
+            RefusalReason.NOT_READY,
+            RefusalReason.DRAINING,
+        ):
+            self.selector.record_unreachable(view, now)
+        elif result.is_offered:
+            self.selector.record_failure(view, now)
+
+    def learn_of_slowness(
+        self, planned: PlannedRequest, view: UpstreamView, started: float
+    ) -> None:
+        """Record an attempt that was given up while it was slower than usual."""
+        now = self.loop.time()
+        elapsed_s = now - started
+        if elapsed_s > self.selector.estimate_run_time(view, planned.route.name, now):
+            self.selector.record_own_run_time(view, planned.route.name, elapsed_s, now)
+
+    def log_offer(
+        self, planned: PlannedRequest, view: UpstreamView, refusal: CallRefusal
+    ) -> None:
+        """Log why an upstream brought no answer, and what was known of it."""
+        now = self.loop.time()
+        load = view.report
+        self.log.write(
+            "not_answered",
+            planned.request.request_id or "-",
+            upstream=view.upstream.upstream_id,
+            peer=view.upstream.address,
+            zone=view.upstream.zone,
+            outcome=refusal.outcome.value,
+            reason=refusal.reason.value,
+            is_offered=refusal.is_offered,
+            n_busy=None if load is None else load.n_busy,
+            n_slots=None if load is None else load.n_slots,
+            report_age_s=None if load is None else round(now - view.reported_at, 3),
+            remaining_s=round(planned.deadline - now, 4),
+        )
+
+
+def make_call(
+    planned: PlannedRequest,
+    upstream: Upstream,
+    head: bytes,
+    *,
+    can_wait: bool,
+    on_suspicion: Callable[[], None] | None,
+) -> UpstreamCall:
+    """Return the call that offers a request to an upstream."""
+    request = planned.request
+    return UpstreamCall(
+        upstream_id=upstream.upstream_id,
+        route=planned.route.name,
+        is_idempotent=planned.route.is_idempotent,
+        priority=planned.route.priority,
+        can_wait=can_wait,
+        due_at=planned.due_at,
+        deadline=planned.deadline,
+        method=request.method,
+        target=request.target,
+        request_id=request.request_id,
+        head=head,
+        body=request.body,
+        on_suspicion=on_suspicion,
+    )
--- /dev/null
+++ b/foxtailway/sidecar/tests/test_carriage.py
@@ -0,0 +1,195 @@
+import asyncio
+from random import Random
+from unittest import IsolatedAsyncioTestCase
+
+from foxtailway.common.clock import ManualClock
+from foxtailway.routing.outcome import Outcome, RefusalReason
+from foxtailway.sidecar.call import (
+    CallRefusal,
+    CallResult,
+    UpstreamAnswer,
+    UpstreamCall,
+)
+from foxtailway.sidecar.carriage import Carriage
+from foxtailway.sidecar.crash_guard import CrashGuard
+from foxtailway.sidecar.http_message import Answer
+from foxtailway.sidecar.offer import OfferDesk
+from foxtailway.sidecar.planned_request import PlannedRequest
+from foxtailway.sidecar.tests.support import (
+    PATIENCE_S,
+    make_client_request,
+    make_log,
+    wait_until,
+)
+from foxtailway.traffic.hedging import HEDGE_BUDGET_SHARE
+from foxtailway.traffic.membership import Membership
+from foxtailway.traffic.selection import LoadReport, UpstreamSelector
+from foxtailway.traffic.tests.builders import make_route, make_upstream
+
+DONE = UpstreamAnswer(answer=Answer(status=200), run_time_s=0.01, load=None)
+FAILED = UpstreamAnswer(answer=Answer(status=500), run_time_s=0.01, load=None)
+BUSY = CallRefusal(outcome=Outcome.NOT_RUN, reason=RefusalReason.OVERLOADED)
+LOST = CallRefusal(outcome=Outcome.UNKNOWN, reason=RefusalReason.LOST, is_offered=True)
+FULL = LoadReport(n_busy=4, n_slots=4, run_time_s=0.05)
+
+
+class HeldPeers:
+    """Hold each call until the test ends it."""
+
+    def __init__(self) -> None:
+        self.calls: list[UpstreamCall] = []
+        self.results: list[asyncio.Future[CallResult]] = []
+        self.n_cancelled = 0
+
+    async def call(self, address: str, call: UpstreamCall) -> CallResult:
+        self.calls.append(call)
+        self.results.append(asyncio.get_running_loop().create_future())
+        try:
+            return await self.results[-1]
+        except asyncio.CancelledError:
+            self.n_cancelled += 1
+            raise
+
+
+class CarriageTest(IsolatedAsyncioTestCase):
+    """Upstreams with a long tail of run times, and nodes that fall silent."""
+
+    async def asyncSetUp(self) -> None:
+        self.peers = HeldPeers()
+        self.membership = Membership()
+        for number in range(3):
+            self.membership.put(
+                make_upstream(f"u-{number}", address=f"10.0.0.{number}")
+            )
+        self.selector = UpstreamSelector(
+            zone="zone-a", zone_regions={"zone-a": "east"}, random_source=Random(1)
+        )
+        self.desk = OfferDesk(
+            address="10.0.0.99",
+            membership=self.membership,
+            selector=self.selector,
+            peers=self.peers,
+            runner=None,
+            guard=CrashGuard(host_id="host-1", clock=ManualClock()),
+            log=make_log(),
+        )
+        self.shares: list[float] = []
+        self.has_budget = True
+
+    def take_repeat(self, share: float) -> bool:
+        self.shares.append(share)
+        return self.has_budget
+
+    def start(self, **changes: object) -> asyncio.Task:
+        now = asyncio.get_running_loop().time()
+        planned = PlannedRequest(
+            request=make_client_request(),
+            route=make_route(**changes),
+            service="records",
+            due_at=now + PATIENCE_S,
+            deadline=now + 2 * PATIENCE_S,
+        )
+        carriage = Carriage(
+            planned=planned, head=b"", desk=self.desk, take_repeat=self.take_repeat
+        )
+        return asyncio.create_task(carriage.run())
+
+    async def start_two(self) -> asyncio.Task:
+        """Return a request with two attempts under way."""
+        task = self.start()
+        await wait_until(lambda: len(self.peers.calls) == 1)
+        self.peers.calls[0].on_suspicion()
+        await wait_until(lambda: len(self.peers.calls) == 2)
+        return task
+
+    async def test_second_attempt_answers_for_a_silent_first_one(self) -> None:
+        task = await self.start_two()
+        self.assertNotEqual(
+            self.peers.calls[0].upstream_id, self.peers.calls[1].upstream_id
+        )
+        self.assertFalse(self.peers.calls[1].can_wait)
+        self.assertEqual(self.shares, [HEDGE_BUDGET_SHARE])
+        self.peers.results[1].set_result(DONE)
+        self.assertIs(await task, DONE)
+        await wait_until(lambda: self.peers.n_cancelled == 1)
+
+    async def test_first_attempt_still_counts(self) -> None:
+        task = await self.start_two()
+        self.peers.results[1].set_result(LOST)
+        await asyncio.sleep(0)
+        self.assertFalse(task.done())
+        self.peers.results[0].set_result(DONE)
+        self.assertIs(await task, DONE)
+
+    async def test_failure_of_one_attempt_waits_for_the_other(self) -> None:
+        task = await self.start_two()
+        self.peers.results[0].set_result(FAILED)
+        await asyncio.sleep(0)
+        self.peers.results[1].set_result(DONE)
+        self.assertIs(await task, DONE)
+
+    async def test_two_lost_attempts_are_all_that_the_route_allows(self) -> None:
+        task = await self.start_two()
+        for result in self.peers.results:
+            result.set_result(LOST)
+        self.assertIs(await task, LOST)
+        self.assertEqual(len(self.peers.calls), 2)
+
+    async def test_refused_second_attempt_leaves_the_first_one(self) -> None:
+        task = await self.start_two()
+        self.peers.results[1].set_result(BUSY)
+        await asyncio.sleep(0)
+        self.peers.results[0].set_result(DONE)
+        self.assertIs(await task, DONE)
+
+    async def check_single(self, **changes: object) -> None:
+        task = self.start(**changes)
+        await wait_until(lambda: len(self.peers.calls) == 1)
+        suspect = self.peers.calls[0].on_suspicion
+        if suspect is not None:
+            suspect()
+        for _ in range(5):
+            await asyncio.sleep(0)
+        self.assertEqual(len(self.peers.calls), 1)
+        self.peers.results[0].set_result(DONE)
+        self.assertIs(await task, DONE)
+
+    async def test_request_that_must_not_run_twice_has_one_attempt(self) -> None:
+        await self.check_single(is_idempotent=False)
+
+    async def test_no_second_attempt_beyond_the_attempts_of_the_route(self) -> None:
+        await self.check_single(max_attempts=1)
+
+    async def test_no_second_attempt_without_budget(self) -> None:
+        self.has_budget = False
+        await self.check_single()
+
+    async def test_no_second_attempt_while_all_others_are_full(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for upstream in self.membership.upstreams.values():
+            self.selector.record_report(self.selector.view(upstream, now), FULL, now)
+        await self.check_single()
+
+    async def test_slow_first_attempt_is_joined_by_a_second_one(self) -> None:
+        now = asyncio.get_running_loop().time()
+        planned = PlannedRequest(
+            request=make_client_request(),
+            route=make_route(),
+            service="records",
+            due_at=now - PATIENCE_S,
+            deadline=now + PATIENCE_S,
+        )
+        self.selector.route_run_times_s["lookup"] = 0.0
+        carriage = Carriage(
+            planned=planned, head=b"", desk=self.desk, take_repeat=self.take_repeat
+        )
+        task = asyncio.create_task(carriage.run())
+        await wait_until(lambda: len(self.peers.calls) == 2)
+        self.peers.results[1].set_result(DONE)
+        self.assertIs(await task, DONE)
+
+    async def test_client_that_leaves_ends_both_attempts(self) -> None:
+        task = await self.start_two()
+        task.cancel()
+        await wait_until(lambda: self.peers.n_cancelled == 2)
+        self.assertTrue(task.cancelled())
--- a/foxtailway/sidecar/tests/test_dispatcher.py
+++ b/foxtailway/sidecar/tests/test_dispatcher.py
@@ -15,6 +15,7 @@
 from foxtailway.sidecar.dispatcher import RequestDispatcher
 from foxtailway.sidecar.http_message import Answer
 from foxtailway.sidecar.metrics import SidecarMetrics
+from foxtailway.sidecar.offer import OfferDesk
 from foxtailway.sidecar.tests.support import (
     NAMES,
     PATIENCE_S,
@@ -59,13 +60,19 @@
         self.dispatcher = RequestDispatcher(
             names=NAMES,
             service="desk",
-            address="10.0.0.99",
-            membership=self.membership,
-            selector=UpstreamSelector(
-                zone="zone-a", zone_regions={"zone-a": "east"}, random_source=Random(1)
+            desk=OfferDesk(
+                address="10.0.0.99",
+                membership=self.membership,
+                selector=UpstreamSelector(
+                    zone="zone-a",
+                    zone_regions={"zone-a": "east"},
+                    random_source=Random(1),
+                ),
+                peers=self.peers,
+                runner=None,
+                guard=self.guard,
+                log=make_log(),
             ),
-            peers=self.peers,
-            runner=None,
             guard=self.guard,
             retry_ratio=0.2,
             retry_slack=56.0,
--- a/foxtailway/traffic/retry_budget.py
+++ b/foxtailway/traffic/retry_budget.py
@@ -41,7 +41,7 @@
         self.requests.append(now)
         self.trim(self.requests, now)
 
-    def try_repeat(self, n_nodes: int, now: float) -> bool:
+    def try_repeat(self, n_nodes: int, now: float, share: float = 1.0) -> bool:
         """Take one repeat from the budget, or return False.
 
         Parameters
@@ -50,11 +50,13 @@
             Nodes that share the slack; at least one.
         now : float
             Time in seconds.
+        share : float, default=1.0
+            Part of the budget that may be used up to now and by this repeat.
         """
         self.trim(self.requests, now)
         self.trim(self.repeats, now)
         allowance = self.ratio * len(self.requests) + self.slack / max(1, n_nodes)
-        if len(self.repeats) + 1 > allowance * SAFETY_RATIO:
+        if len(self.repeats) + 1 > allowance * SAFETY_RATIO * share:
             return False
         self.repeats.append(now)
         return True
--- a/foxtailway/traffic/selection.py
+++ b/foxtailway/traffic/selection.py
@@ -199,9 +199,13 @@
         n_ahead = view.estimate_busy(now) - n_slots + 1
         return max(0.0, n_ahead) * mean_s / max(1, n_slots)
 
+    def mean_run_time(self, route: str) -> float:
+        """Return the mean run time of a route's requests, in seconds."""
+        return self.route_run_times_s.get(route, INITIAL_RUN_TIME_S)
+
     def estimate_run_time(self, view: UpstreamView, route: str, now: float) -> float:
         """Return the expected run time of a request, in seconds."""
-        mean_s = self.route_run_times_s.get(route, INITIAL_RUN_TIME_S)
+        mean_s = self.mean_run_time(route)
         known = self.run_times.get((view.upstream.upstream_id, route))
         if known is not None:
             age_s = max(0.0, now - known.at - FRESH_S)
@@ -210,6 +214,10 @@
             return mean_s * COLD_FACTOR
         return mean_s
 
+    def is_free(self, view: UpstreamView, now: float) -> bool:
+        """Whether an upstream can be reached and is expected to have a free slot."""
+        return view.unreachable_until <= now and self.estimate_wait(view, now) == 0.0
+
     def is_in_region(self, zone: str) -> bool:
         """Whether a zone belongs to this node's region."""
         if zone == self.zone:
@@ -248,6 +256,16 @@
         self, view: UpstreamView, route: str, run_time_s: float, now: float
     ) -> None:
         """Learn from an answer of the upstream."""
+        self.record_own_run_time(view, route, run_time_s, now)
+        mean_s = self.route_run_times_s.get(route, run_time_s)
+        self.route_run_times_s[route] = mean_s + ROUTE_GAIN * (run_time_s - mean_s)
+        view.failure_ratio *= 1.0 - FAILURE_GAIN
+        view.unreachable_until = float("-inf")
+
+    def record_own_run_time(
+        self, view: UpstreamView, route: str, run_time_s: float, now: float
+    ) -> None:
+        """Learn how slow this upstream is, but nothing about the route."""
         key = (view.upstream.upstream_id, route)
         known = self.run_times.get(key)
         if known is None:
@@ -255,10 +273,6 @@
         else:
             known.mean_s += GAIN * (run_time_s - known.mean_s)
             known.at = now
-        mean_s = self.route_run_times_s.get(route, run_time_s)
-        self.route_run_times_s[route] = mean_s + ROUTE_GAIN * (run_time_s - mean_s)
-        view.failure_ratio *= 1.0 - FAILURE_GAIN
-        view.unreachable_until = float("-inf")
 
     def record_failure(self, view: UpstreamView, now: float) -> None:
         """Learn from a request that the upstream failed or refused."""
