Let a change cross the link between regions once

The configuration grew to 2,480 routes while versions followed one another every 0.2 s. The reader of the far region read every version whole, 280 KB of base64 text, over the link between the regions; its watch timed out at 21.0 s, its followers read the store themselves from 22.1 s on, and all of their watches timed out: versions and drains came up to 4 s late in that region and in time in the other. Ruled out: processor time (0.03 of a core), the reader near the store (all versions there within 1.8 s). Change: readers announce themselves and their delay to the store to other regions; the nearest one feeds the others, which relay its updates and read the store only when it is silent. A reader whose own upstream leaves, and hosts that leave, still get the update that says so.

--- a/foxtailway/platform/feed.py
+++ b/foxtailway/platform/feed.py
@@ -114,6 +114,7 @@
 
     def answered(self) -> None:
         """Note that the store works."""
+        self.node.roles.store_delay_s = self.client.connect_s
         self.backoff_s = FIRST_BACKOFF_S
         if self.lost_at is not None:
             self.lost_at = None
--- a/foxtailway/platform/store.py
+++ b/foxtailway/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store."""
 
 import asyncio
+import time
 from base64 import b64decode
 from binascii import Error as Base64Error
 from dataclasses import dataclass
@@ -100,12 +101,15 @@
     ----------
     n_calls : int
         Calls made so far; the platform charges each.
+    connect_s : float
+        Least time that a connection took, in seconds.
     """
 
     def __init__(self, *, endpoint: Endpoint) -> None:
         self.endpoint = endpoint
         self.connection: HttpConnection | None = None
         self.n_calls = 0
+        self.connect_s = float("inf")
 
     @property
     def peer(self) -> str:
@@ -164,11 +168,13 @@
     async def connect(self) -> HttpConnection:
         """Return the kept connection or a new one."""
         if self.connection is None or not self.connection.is_reusable:
+            started = time.monotonic()
             self.connection = await connect_http(
                 address=self.endpoint.address,
                 port=self.endpoint.port,
                 timeout_s=CONNECT_TIMEOUT_S,
             )
+            self.connect_s = min(self.connect_s, time.monotonic() - started)
             set_keepalive(self.connection.transport.get_extra_info("socket"))
         return self.connection
 
--- a/foxtailway/platform/tests/test_feed.py
+++ b/foxtailway/platform/tests/test_feed.py
@@ -156,7 +156,9 @@
         self.assertEqual(self.n_ready, 5)
 
     async def test_outage_is_told_to_the_followers(self) -> None:
+        self.store.put("servers/u-9", make_entry(address="10.0.0.8:8080"))
         await self.start()
+        self.node.roles.rank = 0
         self.store.status = 503
         self.store.cut_watches()
         await wait_until(lambda: self.feed.lost_at is not None)
--- a/foxtailway/sidecar/feed_exchange.py
+++ b/foxtailway/sidecar/feed_exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from foxtailway.sidecar.feed_content import (
     FeedContentError,
@@ -10,7 +11,7 @@
     unpack,
 )
 from foxtailway.sidecar.log import EventLog
-from foxtailway.sidecar.peer_message import PeerFeedRequest, PeerUpdate
+from foxtailway.sidecar.peer_message import PeerFeedRequest, PeerReader, PeerUpdate
 from foxtailway.sidecar.peer_pool import PeerPool
 from foxtailway.traffic.configuration import TrafficConfiguration
 from foxtailway.traffic.configuration_change import (
@@ -19,7 +20,7 @@
     apply_change,
     compare_configurations,
 )
-from foxtailway.traffic.feeding import FeedRoles
+from foxtailway.traffic.feeding import FeedRoles, ForeignReader
 from foxtailway.traffic.membership import Membership
 from foxtailway.traffic.registry_change import RegistryChange
 
@@ -29,6 +30,8 @@
 REQUEST_INTERVAL_S = 0.5
 # Largest age that is told, in seconds; older knowledge confirms nothing either.
 MAX_AGE_S = 3_600.0
+# Delay to the store that is told while it is not known, in seconds.
+MAX_STORE_DELAY_S = 60.0
 # Rank of a node that is not registered; behind all others.
 UNRANKED = 1_000_000
 # Time for which a new node waits for its own listing of the store before it asks
@@ -112,31 +115,68 @@
             Time since the store was known to have nothing newer, in seconds.
         """
         before = self.configuration
+        fed = self.list_fed()
         self.take(change)
         self.known_at = self.loop.time() - age_s
-        if not self.roles.is_reader(self.loop.time()):
+        # Hosts that leave by this change, this one too, are told as well.
+        fed = tuple(dict.fromkeys(fed + self.list_fed()))
+        if not fed:
             return
         packed = b""
         if self.configuration is not before:
             packed = pack(compare_configurations(before, self.configuration))
-        self.broadcast(
-            self.make_update(
-                base_revision=change.base_revision,
-                members=MemberChange(
-                    upstreams=change.upstreams, removed=change.removed
-                ),
-                change=packed,
-            )
+        update = self.make_update(
+            base_revision=change.base_revision,
+            members=MemberChange(upstreams=change.upstreams, removed=change.removed),
+            change=packed,
         )
+        self.peers.broadcast(fed, update)
+
+    def list_fed(self) -> tuple[str, ...]:
+        """Return the hosts that this node feeds; none unless it is a reader."""
+        now = self.loop.time()
+        return self.roles.list_fed(now) if self.roles.is_reader(now) else ()
 
     def repeat_age(self) -> None:
         """Tell the followers how old this node's knowledge is."""
-        if self.revision is not None and self.roles.is_reader(self.loop.time()):
-            self.broadcast(self.make_update(base_revision=self.revision))
+        fed = self.list_fed()
+        if self.revision is not None and fed:
+            update = self.make_update(base_revision=self.revision)
+            self.peers.broadcast(fed, update)
+
+    def announce(self) -> None:
+        """Tell other regions that this node reads for its own, if it does."""
+        roles = self.roles
+        if not roles.is_reader(self.loop.time()) or not roles.foreign_peers:
+            return
+        message = PeerReader(
+            address=self.address,
+            region=roles.region,
+            rank=roles.rank,
+            store_delay_us=int(min(MAX_STORE_DELAY_S, roles.store_delay_s) * 1e6),
+        )
+        self.peers.broadcast(roles.foreign_peers, message)
 
-    def broadcast(self, update: PeerUpdate) -> None:
-        """Send an update to all hosts of the region."""
-        self.peers.broadcast(self.roles.peers, update)
+    def hear_reader(self, message: PeerReader) -> None:
+        """Take note of the reader of another region."""
+        reader = ForeignReader(
+            address=message.address,
+            rank=message.rank,
+            store_delay_s=message.store_delay_us / 1e6,
+            heard_at=self.loop.time(),
+        )
+        self.roles.hear_reader(message.region, reader)
+
+    def relay(self, update: PeerUpdate) -> None:
+        """Pass an update of another region's reader on to this region."""
+        now = self.loop.time()
+        relayed = replace(
+            update,
+            reader=self.address,
+            rank=self.roles.rank,
+            age_ms=int(min(MAX_AGE_S, now - self.known_at) * 1000),
+        )
+        self.peers.broadcast(self.roles.peers, relayed)
 
     def make_update(
         self,
@@ -202,6 +242,10 @@
         known_at = self.loop.time() - update.age_ms / 1000
         self.known_at = max(self.known_at, known_at)
         self.roles.confirm_by(known_at, update.reader, update.rank)
+        if update.reader in self.roles.foreign_peers and self.roles.is_reader(
+            self.loop.time()
+        ):
+            self.relay(update)
 
     def read_update(self, update: PeerUpdate) -> RegistryChange | None:
         """Return the changes that an update holds, or None if some are missing."""
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -24,7 +24,7 @@
 from foxtailway.sidecar.upstream_pool import UpstreamPool
 from foxtailway.sidecar.upstream_runner import UpstreamRunner
 from foxtailway.traffic.configuration import TrafficConfiguration
-from foxtailway.traffic.feeding import FeedRoles, FeedTimes
+from foxtailway.traffic.feeding import ANNOUNCE_INTERVAL_S, FeedRoles, FeedTimes
 from foxtailway.traffic.membership import Membership
 from foxtailway.traffic.selection import UpstreamSelector
 
@@ -84,6 +84,7 @@
         self.loop = asyncio.get_running_loop()
         self.exit_stack = AsyncExitStack()
         self.is_stopping = False
+        self.announced_at = float("-inf")
         self.membership = Membership()
         self.roles = FeedRoles(
             address=settings.upstream.address,
@@ -130,6 +131,7 @@
             codec=codec,
             address=settings.peer_listener.address,
             on_update=self.exchange.receive,
+            on_reader=self.exchange.hear_reader,
             log=log,
         )
         self.metrics = SidecarMetrics(read_gauges=self.read_gauges)
@@ -180,8 +182,12 @@
         self.ticker = self.loop.call_later(TICK_S, self.tick)
 
     def tick(self) -> None:
-        """Give up lapsed upstreams."""
-        self.membership.expire(self.loop.time())
+        """Give up lapsed upstreams and announce this node if it is a reader."""
+        now = self.loop.time()
+        self.membership.expire(now)
+        if now - self.announced_at >= ANNOUNCE_INTERVAL_S:
+            self.announced_at = now
+            self.exchange.announce()
         self.ticker = self.loop.call_later(TICK_S, self.tick)
 
     def is_ready(self) -> bool:
--- a/foxtailway/sidecar/peer_listener.py
+++ b/foxtailway/sidecar/peer_listener.py
@@ -12,6 +12,7 @@
     PeerGoodbye,
     PeerPing,
     PeerPong,
+    PeerReader,
     PeerRefusal,
     PeerRequest,
     PeerUpdate,
@@ -38,6 +39,8 @@
         Address of this host, named when it says goodbye.
     on_update : callable
         Called with each update of a reader and a function that answers it.
+    on_reader : callable
+        Called with each announcement of another region's reader.
     log : EventLog
         Receiver of events.
     """
@@ -49,9 +52,11 @@
         codec: MessagePlans,
         address: str,
         on_update: Callable[[PeerUpdate, Callable[[object], None]], None],
+        on_reader: Callable[[PeerReader], None],
         log: EventLog,
     ) -> None:
         self.on_update = on_update
+        self.on_reader = on_reader
         self.log = log
         self.runner = runner
         self.codec = codec
@@ -94,6 +99,8 @@
                     task.cancel()
             case PeerUpdate():
                 self.on_update(message, stream.send)
+            case PeerReader():
+                self.on_reader(message)
             case PeerPing():
                 stream.send(PeerPong(sequence=message.sequence))
             case _:
--- a/foxtailway/sidecar/peer_message.py
+++ b/foxtailway/sidecar/peer_message.py
@@ -14,6 +14,7 @@
     "PeerGoodbye",
     "PeerPing",
     "PeerPong",
+    "PeerReader",
     "PeerRefusal",
     "PeerRequest",
     "PeerUpdate",
@@ -211,6 +212,26 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerReader:
+    """Tell other regions that the sender reads the store for its region.
+
+    Parameters
+    ----------
+    address, region : str
+        Address and region of the sender.
+    rank : int
+        Rank of the sender among those of its region.
+    store_delay_us : int
+        Time that a connection to the store takes, in microseconds.
+    """
+
+    address: str
+    region: str
+    rank: int
+    store_delay_us: int
+
+
 PEER_MESSAGE_TYPES = (
     PeerRequest,
     PeerAnswer,
@@ -222,4 +243,5 @@
     PeerCrash,
     PeerUpdate,
     PeerFeedRequest,
+    PeerReader,
 )
--- a/foxtailway/sidecar/tests/test_feed_exchange.py
+++ b/foxtailway/sidecar/tests/test_feed_exchange.py
@@ -7,7 +7,7 @@
     REQUEST_INTERVAL_S,
     FeedExchange,
 )
-from foxtailway.sidecar.peer_message import PeerFeedRequest, PeerUpdate
+from foxtailway.sidecar.peer_message import PeerFeedRequest, PeerReader, PeerUpdate
 from foxtailway.sidecar.tests.support import make_log
 from foxtailway.traffic.configuration import ClientLimits, TrafficConfiguration
 from foxtailway.traffic.configuration_change import ConfigurationChange
@@ -37,11 +37,16 @@
         self.nodes = {address: Node(address, self) for address in ADDRESSES}
         self.unreachable: set[str] = set()
         self.requests: list[str] = []
+        self.deliveries: list[tuple[str, str]] = []
         self.n_bytes = 0
 
-    def deliver(self, address: str, update: PeerUpdate) -> None:
+    def deliver(self, address: str, update: PeerUpdate | PeerReader) -> None:
         if address in self.unreachable:
             return
+        if isinstance(update, PeerReader):
+            self.nodes[address].exchange.hear_reader(update)
+            return
+        self.deliveries.append((update.reader, address))
         self.n_bytes += len(update.members) + len(update.change)
 
         def reply(_request: PeerFeedRequest) -> None:
@@ -52,8 +57,9 @@
 
 
 class Node:
-    def __init__(self, address: str, network: Network) -> None:
+    def __init__(self, address: str, network: Network, zone: str = "zone-a") -> None:
         self.address = address
+        self.zone = zone
         self.network = network
         self.applied: list[int] = []
         self.membership = Membership()
@@ -73,7 +79,11 @@
         )
 
     def choose_roles(self) -> None:
-        self.roles.update(UPSTREAMS, "zone-a", {"zone-a": "east"})
+        self.roles.update(
+            self.membership.upstreams.values(),
+            self.zone,
+            {"zone-a": "east", "zone-w": "west"},
+        )
 
     def broadcast(self, addresses: tuple[str, ...], update: PeerUpdate) -> None:
         for address in addresses:
@@ -231,3 +241,63 @@
                 unpack(data, MemberChange)
         with self.assertRaises(FeedContentError):
             unpack(pack(MemberChange()), ConfigurationChange)
+
+
+class RegionsTest(IsolatedAsyncioTestCase):
+    """Two regions, the store in the east."""
+
+    async def asyncSetUp(self) -> None:
+        self.network = Network()
+        west = [f"10.9.0.{number}" for number in range(N_HOSTS)]
+        for address in west:
+            self.network.nodes[address] = Node(address, self.network, "zone-w")
+        upstreams = UPSTREAMS + tuple(
+            make_upstream(f"w-{number}", address=address, zone="zone-w")
+            for number, address in enumerate(west)
+        )
+        for node in self.network.nodes.values():
+            node.exchange.take(make_change(None, 10, upstreams=upstreams, version=1))
+            node.roles.confirm(node.exchange.loop.time())
+            node.roles.store_delay_s = 0.026 if node.zone == "zone-w" else 0.003
+        self.readers = {
+            node.zone: node
+            for node in self.network.nodes.values()
+            if node.roles.rank == 0
+        }
+        self.west = [
+            node for node in self.network.nodes.values() if node.zone == "zone-w"
+        ]
+
+    def crossings(self) -> list[tuple[str, str]]:
+        return [
+            pair
+            for pair in self.network.deliveries
+            if pair[0].startswith("10.0.") != pair[1].startswith("10.0.")
+        ]
+
+    async def test_change_crosses_the_link_once(self) -> None:
+        for reader in self.readers.values():
+            reader.exchange.announce()
+        self.readers["zone-a"].exchange.learn(make_change(10, 11, version=2), 0.0)
+        self.assertEqual({node.exchange.version for node in self.west}, {2})
+        self.assertEqual(len(self.crossings()), 1)
+        now = self.west[0].exchange.loop.time()
+        self.assertTrue(self.readers["zone-w"].roles.is_fed(now))
+        self.assertEqual(self.network.requests, [])
+
+    async def test_farther_reader_feeds_no_other_region(self) -> None:
+        for reader in self.readers.values():
+            reader.exchange.announce()
+        self.readers["zone-w"].exchange.learn(make_change(10, 11, version=2), 0.0)
+        self.assertEqual(self.crossings(), [])
+
+    async def test_reader_that_is_not_fed_from_abroad_reads_itself(self) -> None:
+        now = self.west[0].exchange.loop.time()
+        self.assertFalse(self.readers["zone-w"].roles.is_fed(now))
+
+    async def test_reader_that_was_not_heard_for_long_is_not_fed(self) -> None:
+        self.readers["zone-w"].exchange.announce()
+        roles = self.readers["zone-a"].roles
+        now = self.west[0].exchange.loop.time()
+        self.assertEqual(len(roles.list_fed(now)), N_HOSTS)
+        self.assertEqual(len(roles.list_fed(now + 100.0)), N_HOSTS - 1)
--- a/foxtailway/sidecar/tests/test_peers.py
+++ b/foxtailway/sidecar/tests/test_peers.py
@@ -63,6 +63,7 @@
             codec=codec,
             address="127.0.0.1",
             on_update=self.receive_update,
+            on_reader=lambda _message: None,
             log=make_log(),
         )
         await self.listener.listen(port=0)
--- a/foxtailway/traffic/feeding.py
+++ b/foxtailway/traffic/feeding.py
@@ -6,7 +6,13 @@
 from foxtailway.routing.rendezvous import choose_names
 from foxtailway.traffic.membership import Upstream
 
-__all__ = ["FeedRoles", "FeedTimes", "HostCapacity"]
+__all__ = [
+    "ANNOUNCE_INTERVAL_S",
+    "FeedRoles",
+    "FeedTimes",
+    "ForeignReader",
+    "HostCapacity",
+]
 
 # Least capacity of a host that reads for others while another can. Changes of the
 # configuration come in bursts and pass through its link and processor.
@@ -19,6 +25,13 @@
 FIRST_TAKE_OVER_SHARE = 0.45
 LAST_TAKE_OVER_SHARE = 0.65
 UNFED_SHARE = 0.7
+# Interval at which a reader makes itself known to other regions, and time for
+# which it is believed, in seconds.
+ANNOUNCE_INTERVAL_S = 2.0
+ANNOUNCEMENT_LIFE_S = 7.0
+# Least difference of the readers' delays to the store from which the nearer one
+# feeds the other, in seconds; hosts of one region differ by less.
+DELAY_MARGIN_S = 0.005
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -79,6 +92,28 @@
         return (FIRST_TAKE_OVER_SHARE + place * shares) * self.apply_s
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ForeignReader:
+    """Describe the reader of another region.
+
+    Parameters
+    ----------
+    address : str
+        Its address.
+    rank : int
+        Its rank among those of its region.
+    store_delay_s : float
+        Time that it takes to connect to the store, in seconds.
+    heard_at : float
+        When it was last heard of, in seconds.
+    """
+
+    address: str
+    rank: int
+    store_delay_s: float
+    heard_at: float
+
+
 class FeedRoles:
     """Decide who reads the store and whether this node is up to date without it.
 
@@ -102,6 +137,16 @@
         Time for which a reader last confirmed what this node knows, in seconds.
     deferred_at : float
         The same, confirmed by a node that ranks before this one.
+    relayed_at : float
+        The same, confirmed by the reader of another region.
+    region : str or None
+        Region of this node.
+    foreign_peers : frozenset of str
+        Addresses of the hosts of other regions.
+    foreign_readers : dict of str to ForeignReader
+        Reader of each other region, as far as known.
+    store_delay_s : float
+        Time that this node takes to connect to the store, in seconds.
 
     Notes
     -----
@@ -110,6 +155,10 @@
     ranked before it have been silent for some time, which grows with its rank,
     and gives way when one of them is heard again. Nodes that disagree read too
     often, which costs calls only.
+
+    The reader that is nearest to the store also feeds the readers of the other
+    regions, which then pass its updates on instead of reading, so that a change
+    crosses the link between two regions once.
     """
 
     def __init__(
@@ -122,17 +171,24 @@
         self.peers: tuple[str, ...] = ()
         self.confirmed_at = float("-inf")
         self.deferred_at = float("-inf")
+        self.relayed_at = float("-inf")
+        self.region: str | None = None
+        self.foreign_peers: frozenset[str] = frozenset()
+        self.foreign_readers: dict[str, ForeignReader] = {}
+        self.store_delay_s = float("inf")
 
     def update(
         self, upstreams: Iterable[Upstream], zone: str, zone_regions: Mapping[str, str]
     ) -> None:
         """Choose the rank anew after the membership changed."""
         region = zone_regions.get(zone)
-        addresses = {
-            upstream.address
-            for upstream in upstreams
-            if zone_regions.get(upstream.zone) == region
-        }
+        addresses: set[str] = set()
+        foreign: set[str] = set()
+        for upstream in upstreams:
+            is_near = zone_regions.get(upstream.zone) == region
+            (addresses if is_near else foreign).add(upstream.address)
+        self.region = region
+        self.foreign_peers = frozenset(foreign - addresses)
         order = choose_names(f"readers of {region}", addresses, len(addresses))
         self.peers = tuple(address for address in order if address != self.address)
         self.rank = None
@@ -170,11 +226,35 @@
             Rank of the reader.
         """
         self.confirmed_at = max(self.confirmed_at, at)
-        if self.rank is not None and (rank, reader) < (self.rank, self.address):
+        if reader in self.foreign_peers:
+            self.relayed_at = max(self.relayed_at, at)
+        elif self.rank is not None and (rank, reader) < (self.rank, self.address):
             self.deferred_at = max(self.deferred_at, at)
 
     def is_fed(self, now: float) -> bool:
         """Whether a reader confirmed recently what this node knows."""
         if self.is_reader(now):
-            return False
+            return now - self.relayed_at < self.times.take_over_s(0.0)
         return now - self.confirmed_at < self.times.unfed_s
+
+    def hear_reader(self, region: str, reader: ForeignReader) -> None:
+        """Take note of a reader of another region; the first in rank counts."""
+        known = self.foreign_readers.get(region)
+        if (
+            known is None
+            or known.address == reader.address
+            or reader.rank < known.rank
+            or reader.heard_at - known.heard_at > ANNOUNCEMENT_LIFE_S
+        ):
+            self.foreign_readers[region] = reader
+
+    def list_fed(self, now: float) -> tuple[str, ...]:
+        """Return the addresses to which this node sends updates as a reader."""
+        farther = tuple(
+            reader.address
+            for reader in self.foreign_readers.values()
+            if reader.address in self.foreign_peers
+            and now - reader.heard_at < ANNOUNCEMENT_LIFE_S
+            and reader.store_delay_s - self.store_delay_s > DELAY_MARGIN_S
+        )
+        return self.peers + farther
