Confirm at once after taking over as reader

Ruled out: pages of the listing (one page). Change: a reader whose knowledge is older than it should be asks for an immediate answer.

--- a/foxtailway/platform/feed.py
+++ b/foxtailway/platform/feed.py
@@ -150,10 +150,7 @@
         if self.loop.time() - self.called_at > MAX_IDLE_S:
             self.client.close()
         asked_at = read_boot_time()
-        is_reader = self.node.roles.is_reader(self.loop.time())
-        wait_s = LONE_WAIT_S
-        if is_reader or self.lost_at is not None:
-            wait_s = self.node.roles.times.confirm_s
+        wait_s = self.choose_wait()
         page = await self.client.watch(ALL_KEYS, self.exchange.revision, wait_s)
         self.called_at = self.loop.time()
         self.answered()
@@ -168,6 +165,18 @@
         if 0 < len(page.items) < N_CHANGES_OF_BACKLOG:
             await asyncio.sleep(COALESCE_S)
 
+    def choose_wait(self) -> float:
+        """Return how long the next watch may wait for changes, in seconds.
+
+        A node that has just taken over as reader asks for an answer at once,
+        since its followers are about to read for themselves.
+        """
+        now = self.loop.time()
+        confirm_s = self.node.roles.times.confirm_s
+        if self.node.roles.is_reader(now):
+            return 0.0 if now - self.exchange.known_at > confirm_s else confirm_s
+        return LONE_WAIT_S if self.lost_at is None else confirm_s
+
     def decode(
         self, base_revision: int | None, revision: int, items: Iterable[StoreItem]
     ) -> RegistryChange:
--- a/foxtailway/platform/tests/test_feed.py
+++ b/foxtailway/platform/tests/test_feed.py
@@ -178,6 +178,14 @@
         self.node.roles.deferred_at = float("-inf")
         await wait_until(lambda: len(self.store.calls) > n_calls)
 
+    async def test_node_that_takes_over_confirms_at_once(self) -> None:
+        await self.start()
+        now = self.feed.loop.time()
+        self.feed.exchange.known_at = now
+        self.assertEqual(self.feed.choose_wait(), self.node.roles.times.confirm_s)
+        self.feed.exchange.known_at = now - self.node.roles.times.take_over_s(0.0)
+        self.assertEqual(self.feed.choose_wait(), 0.0)
+
     async def test_weak_host_waits_for_a_reader_after_its_listing(self) -> None:
         self.node.roles.capacity = HostCapacity(link_mbps=1.0, n_cores=1.0)
         task = asyncio.create_task(self.feed.run())
