--- a/foxtailway/sidecar/http_connection.py
+++ b/foxtailway/sidecar/http_connection.py
@@ -79,8 +79,6 @@
         Loop time at which the last exchange ended, in seconds.
     idle_limit_s : float
         Time for which the server keeps an idle connection, in seconds.
-    n_exchanges : int
-        Requests sent so far.
 
     Notes
     -----
@@ -99,7 +97,6 @@
         self.is_reusable = True
         self.idle_since = self.loop.time()
         self.idle_limit_s = 4.0
-        self.n_exchanges = 0
         self.start_message()
 
     def start_message(self) -> None:
@@ -118,7 +115,6 @@
         self.exchange = self.loop.create_future()
         self.expected_id = expected_id
         self.is_head = is_head
-        self.n_exchanges += 1
         self.transport.write(data)
         return self.exchange
 
--- a/foxtailway/sidecar/tests/test_upstream_runner.py
+++ b/foxtailway/sidecar/tests/test_upstream_runner.py
@@ -135,7 +135,7 @@
             runner = self.make_runner(upstream)
         result = await self.run_call(runner)
         self.assert_refused(result, Outcome.NOT_RUN, RefusalReason.NOT_READY)
-        self.assertEqual(runner.n_busy, 0)
+        self.assertEqual(runner.queue.n_busy, 0)
 
     async def test_leaving_upstream_gets_no_request(self) -> None:
         async with ScriptedUpstream() as upstream:
@@ -153,7 +153,7 @@
             first = asyncio.create_task(self.run_call(runner))
             await wait_until(lambda: bool(upstream.requests))
             second = asyncio.create_task(self.run_call(runner, request_id="r-2"))
-            await wait_until(lambda: runner.n_busy == 2)
+            await wait_until(lambda: runner.queue.n_busy == 2)
             self.membership.remove("u-1", 1e9)
             released.set()
             self.assertIsInstance(await first, UpstreamAnswer)
@@ -173,7 +173,7 @@
             runner = self.make_runner(upstream)
             result = await self.run_call(runner, deadline=runner.loop.time() + 1.0)
             await asyncio.sleep(0)
-            self.assertEqual(runner.n_busy, 0)
+            self.assertEqual(runner.queue.n_busy, 0)
         self.assert_refused(result, Outcome.UNKNOWN, RefusalReason.EXPIRED)
 
     async def test_caller_that_leaves_ends_an_idempotent_request(self) -> None:
@@ -181,16 +181,16 @@
             runner = self.make_runner(upstream)
             await self.leave_while_running(runner, upstream, is_idempotent=True)
             await asyncio.sleep(0)
-            self.assertEqual(runner.n_busy, 0)
+            self.assertEqual(runner.queue.n_busy, 0)
 
     async def test_request_that_may_not_repeat_runs_to_its_end(self) -> None:
         released = asyncio.Event()
         async with ScriptedUpstream(holding(released)) as upstream:
             runner = self.make_runner(upstream)
             await self.leave_while_running(runner, upstream, is_idempotent=False)
-            self.assertEqual(runner.n_busy, 1)
+            self.assertEqual(runner.queue.n_busy, 1)
             released.set()
-            await wait_until(lambda: not runner.n_busy)
+            await wait_until(lambda: not runner.queue.n_busy)
             self.assertEqual(len(runner.pool.idle), 1)
 
     async def leave_while_running(
--- a/foxtailway/sidecar/tests/test_whole_path.py
+++ b/foxtailway/sidecar/tests/test_whole_path.py
@@ -134,7 +134,7 @@
             _, writer = await self.send()
             await wait_until(lambda: bool(upstream.requests))
             writer.close()
-            await wait_until(lambda: self.exit.runner.n_busy == 0)
+            await wait_until(lambda: self.exit.runner.queue.n_busy == 0)
 
 
 class FakeLoop:
--- a/foxtailway/sidecar/upstream_runner.py
+++ b/foxtailway/sidecar/upstream_runner.py
@@ -90,11 +90,6 @@
         self.ticker: asyncio.TimerHandle | None = None
         self.is_stopping = False
 
-    @property
-    def n_busy(self) -> int:
-        """Requests that run or wait."""
-        return self.queue.n_busy
-
     def report_load(self) -> LoadReport:
         """Return the load of the upstream."""
         return LoadReport(
