Let a reader that leaves hand over; queue in another region if no near upstream is left

A reader whose upstream left stopped feeding at once, so its region was without news for 1.35 to 1.95 s and the next reader began to read over the link. Change: (1) hosts whose upstream drains rank last, hosts that are not registered behind them, and a reader goes on until it hears one ranked before it. (2) a request may queue in another region if its own has no upstream of the service.

--- a/foxtailway/sidecar/offer.py
+++ b/foxtailway/sidecar/offer.py
@@ -114,7 +114,7 @@
             planned,
             view.upstream,
             head,
-            can_wait=can_wait and self.selector.is_in_region(view.upstream.zone),
+            can_wait=can_wait and self.may_queue(planned, view),
             on_suspicion=on_suspicion,
         )
         started = self.loop.time()
@@ -134,6 +134,12 @@
             self.log_offer(planned, view, result)
         return result
 
+    def may_queue(self, planned: PlannedRequest, view: UpstreamView) -> bool:
+        """Whether a request may wait for a slot of an upstream."""
+        if self.selector.is_in_region(view.upstream.zone):
+            return True
+        return not self.selector.has_near(self.membership.list_ready(planned.service))
+
     def learn(
         self, planned: PlannedRequest, view: UpstreamView, result: CallResult
     ) -> None:
--- a/foxtailway/sidecar/tests/test_carriage.py
+++ b/foxtailway/sidecar/tests/test_carriage.py
@@ -142,6 +142,33 @@
         self.peers.results[0].set_result(DONE)
         self.assertIs(await task, DONE)
 
+    async def test_request_queues_far_away_only_without_a_near_upstream(self) -> None:
+        self.selector.zone_regions = {"zone-a": "east", "zone-c": "west"}
+        self.membership.put(
+            make_upstream("far", address="10.0.0.9", zone="zone-c", service="records")
+        )
+        for number in range(3):
+            self.desk.selector.record_unreachable(
+                self.selector.view(
+                    self.membership.upstreams[f"u-{number}"],
+                    asyncio.get_running_loop().time(),
+                ),
+                asyncio.get_running_loop().time(),
+            )
+        first = self.start(is_idempotent=False)
+        await wait_until(lambda: len(self.peers.calls) == 1)
+        self.assertEqual(self.peers.calls[0].upstream_id, "far")
+        self.assertFalse(self.peers.calls[0].can_wait)
+        for number in range(3):
+            self.membership.remove(f"u-{number}", 1e9)
+        second = self.start(is_idempotent=False)
+        await wait_until(lambda: len(self.peers.calls) == 2)
+        self.assertTrue(self.peers.calls[1].can_wait)
+        for result in self.peers.results:
+            result.set_result(DONE)
+        self.assertIs(await first, DONE)
+        self.assertIs(await second, DONE)
+
     async def check_single(self, **changes: object) -> None:
         task = self.start(**changes)
         await wait_until(lambda: len(self.peers.calls) == 1)
--- a/foxtailway/traffic/feeding.py
+++ b/foxtailway/traffic/feeding.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from foxtailway.routing.rendezvous import choose_names
-from foxtailway.traffic.membership import Upstream
+from foxtailway.traffic.membership import Upstream, UpstreamState
 
 __all__ = [
     "ANNOUNCE_INTERVAL_S",
@@ -130,7 +130,7 @@
     ----------
     rank : int or None
         Place of this node in the order in which nodes become readers, 0 for the
-        first; None while its host is not registered.
+        first; None before the first listing.
     peers : tuple of str
         Addresses of the region's other hosts.
     confirmed_at : float
@@ -151,7 +151,9 @@
     Notes
     -----
     Nodes are ranked by rendezvous hashing over the hosts of the region, those
-    on weak hosts behind all others. A node reads for the others when those
+    on weak hosts and those whose upstream leaves behind all others, and hosts
+    that are not registered last. A reader that leaves goes on until another
+    node, now ranked before it, has taken over. A node reads for the others when those
     ranked before it have been silent for some time, which grows with its rank,
     and gives way when one of them is heard again. Nodes that disagree read too
     often, which costs calls only.
@@ -184,17 +186,22 @@
         region = zone_regions.get(zone)
         addresses: set[str] = set()
         foreign: set[str] = set()
+        is_leaving = False
         for upstream in upstreams:
+            if upstream.address == self.address:
+                is_leaving = upstream.state is UpstreamState.DRAINING
             is_near = zone_regions.get(upstream.zone) == region
             (addresses if is_near else foreign).add(upstream.address)
         self.region = region
         self.foreign_peers = frozenset(foreign - addresses)
         order = choose_names(f"readers of {region}", addresses, len(addresses))
         self.peers = tuple(address for address in order if address != self.address)
-        self.rank = None
-        if self.address in addresses:
-            n_before = 0 if self.capacity.can_feed else len(order)
-            self.rank = n_before + order.index(self.address)
+        if self.address not in addresses:
+            self.rank = 3 * len(order)
+            return
+        is_last = not self.capacity.can_feed or is_leaving
+        n_before = len(order) if is_last else 0
+        self.rank = n_before + order.index(self.address)
 
     def is_reader(self, now: float) -> bool:
         """Whether this node follows the store for others."""
--- a/foxtailway/traffic/selection.py
+++ b/foxtailway/traffic/selection.py
@@ -157,14 +157,17 @@
         deadline: float,
         now: float,
     ) -> UpstreamView | None:
-        """Return the best upstream, or None when no answer is to be expected."""
+        """Return the best upstream, or None when there is none to try."""
+        may_queue_far = not self.has_near(upstreams)
         best = None
         best_worth = 0.0
         for upstream in upstreams:
             if upstream.upstream_id in excluded:
                 continue
             view = self.view(upstream, now)
-            worth = self.estimate_worth(view, route, due_at, deadline, now)
+            worth = self.estimate_worth(
+                view, route, due_at, deadline, now, may_queue_far
+            )
             worth += JITTER * self.random_source.random()
             if best is None or worth > best_worth:
                 best, best_worth = view, worth
@@ -177,13 +180,15 @@
         due_at: float,
         deadline: float,
         now: float,
+        may_queue_far: bool = False,
     ) -> float:
         """Return the expected worth of an answer, less the cost of the way."""
         if view.unreachable_until > now:
             return -1.0
         cost, delay_s = self.measure_way(view.upstream.zone)
         wait_s = self.estimate_wait(view, now)
-        if wait_s > 0.0 and not self.is_in_region(view.upstream.zone):
+        is_near = self.is_in_region(view.upstream.zone)
+        if wait_s > 0.0 and not is_near and not may_queue_far:
             return -cost
         run_time_s = self.estimate_run_time(view, route.name, now)
         finish = now + 2 * delay_s + wait_s + run_time_s
@@ -218,6 +223,14 @@
         """Whether an upstream can be reached and is expected to have a free slot."""
         return view.unreachable_until <= now and self.estimate_wait(view, now) == 0.0
 
+    def has_near(self, upstreams: tuple[Upstream, ...]) -> bool:
+        """Whether one of the upstreams is in this node's region.
+
+        Otherwise requests queue in another region. They do not while there is a
+        near one, so that two overloaded regions do not exchange their queues.
+        """
+        return any(self.is_in_region(upstream.zone) for upstream in upstreams)
+
     def is_in_region(self, zone: str) -> bool:
         """Whether a zone belongs to this node's region."""
         if zone == self.zone:
--- a/foxtailway/traffic/tests/test_selection.py
+++ b/foxtailway/traffic/tests/test_selection.py
@@ -55,6 +55,16 @@
         self.report(FAR, n_busy=5)
         self.assertEqual(self.choose(FAR, MIDDLE, NEAR), "middle")
 
+    def test_service_that_is_left_in_other_regions_only_is_queued_for_there(
+        self,
+    ) -> None:
+        """All near upstreams gone, the far ones busy; a short queue is the best."""
+        other = make_upstream("other", zone="zone-c")
+        self.report(FAR, n_busy=5)
+        self.report(other, n_busy=20)
+        for _ in range(20):
+            self.assertEqual(self.choose(other, FAR), "far")
+
     def test_slow_upstream_is_avoided_and_tried_again(self) -> None:
         for step in range(30):
             now = step * 0.01
