--- a/foxtailway/sidecar/carriage.py
+++ b/foxtailway/sidecar/carriage.py
@@ -106,6 +106,7 @@
 
     async def race(self, view: UpstreamView) -> CallResult:
         """Make an attempt, and a second one beside it if the first is slow."""
+        started = self.loop.time()
         slow = self.loop.create_future()
 
         def suspect() -> None:
@@ -119,6 +120,7 @@
             if not attempts[0].done():
                 second = self.choose_second()
                 if second is not None:
+                    self.log_second(view, second, started)
                     attempts.append(
                         self.loop.create_task(self.start(second, can_wait=False))
                     )
@@ -148,6 +150,22 @@
             return None
         return view
 
+    def log_second(
+        self, first: UpstreamView, second: UpstreamView, started: float
+    ) -> None:
+        """Log why a second attempt is made beside the first."""
+        now = self.loop.time()
+        run_time_s = self.desk.selector.mean_run_time(self.planned.route.name)
+        self.desk.log.write(
+            "second_attempt",
+            self.planned.request.request_id or "-",
+            upstream=second.upstream.upstream_id,
+            first=first.upstream.upstream_id,
+            elapsed_s=round(now - started, 4),
+            run_time_s=round(run_time_s, 4),
+            remaining_s=round(self.planned.deadline - now, 4),
+        )
+
     async def await_first(
         self, attempts: list["asyncio.Task[CallResult]"]
     ) -> CallResult:
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -84,6 +84,7 @@
         self.loop = asyncio.get_running_loop()
         self.exit_stack = AsyncExitStack()
         self.is_stopping = False
+        self.is_reader = False
         self.announced_at = float("-inf")
         self.membership = Membership()
         self.roles = FeedRoles(
@@ -185,6 +186,11 @@
         """Give up lapsed upstreams and announce this node if it is a reader."""
         now = self.loop.time()
         self.membership.expire(now)
+        if self.roles.is_reader(now) != self.is_reader:
+            self.is_reader = not self.is_reader
+            self.log.write(
+                "reader_changed", is_reader=self.is_reader, rank=self.roles.rank
+            )
         if now - self.announced_at >= ANNOUNCE_INTERVAL_S:
             self.announced_at = now
             self.exchange.announce()
