Let only readers go on as readers when their host is no longer registered

Cause: found in review. A node whose upstream crashed is left out of the updates and took over as a reader of the last rank after 0.7 of the time to apply, with short watches, each of which is charged. Change: a host that is not registered reads for others only if it did so when it was taken off the list; otherwise it reads for itself with long watches.

--- a/foxtailway/traffic/feeding.py
+++ b/foxtailway/traffic/feeding.py
@@ -25,6 +25,8 @@
 FIRST_TAKE_OVER_SHARE = 0.45
 LAST_TAKE_OVER_SHARE = 0.65
 UNFED_SHARE = 0.7
+# Groups of the ranking: strong hosts, then weak hosts and those that leave.
+N_GROUPS = 2
 # Interval at which a reader makes itself known to other regions, and time for
 # which it is believed, in seconds.
 ANNOUNCE_INTERVAL_S = 2.0
@@ -130,7 +132,9 @@
     ----------
     rank : int or None
         Place of this node in the order in which nodes become readers, 0 for the
-        first; None before the first listing.
+        first; None while its host is not registered, unless it still reads.
+    was_reader : bool
+        Whether this node was a reader when it was last asked.
     peers : tuple of str
         Addresses of the region's other hosts.
     confirmed_at : float
@@ -151,11 +155,11 @@
     Notes
     -----
     Nodes are ranked by rendezvous hashing over the hosts of the region, those
-    on weak hosts and those whose upstream leaves behind all others, and hosts
-    that are not registered last. A reader that leaves goes on until another
-    node, now ranked before it, has taken over. A node reads for the others when those
-    ranked before it have been silent for some time, which grows with its rank,
-    and gives way when one of them is heard again. Nodes that disagree read too
+    on weak hosts and those whose upstream leaves behind all others. A node
+    reads for the others when those ranked before it have been silent for some
+    time, which grows with its rank, and gives way when one of them is heard
+    again. A reader whose host is no longer registered goes on, behind all
+    others, until another one has taken over. Nodes that disagree read too
     often, which costs calls only.
 
     The reader that is nearest to the store also feeds the readers of the other
@@ -170,6 +174,7 @@
         self.capacity = capacity
         self.times = times
         self.rank: int | None = None
+        self.was_reader = False
         self.peers: tuple[str, ...] = ()
         self.confirmed_at = float("-inf")
         self.deferred_at = float("-inf")
@@ -197,7 +202,7 @@
         order = choose_names(f"readers of {region}", addresses, len(addresses))
         self.peers = tuple(address for address in order if address != self.address)
         if self.address not in addresses:
-            self.rank = 3 * len(order)
+            self.rank = N_GROUPS * len(order) if self.was_reader else None
             return
         is_last = not self.capacity.can_feed or is_leaving
         n_before = len(order) if is_last else 0
@@ -205,12 +210,15 @@
 
     def is_reader(self, now: float) -> bool:
         """Whether this node follows the store for others."""
-        if self.rank is None:
-            return False
-        if self.rank == 0:
-            return True
-        place = self.rank / (2 * (len(self.peers) + 1))
-        return now - self.deferred_at >= self.times.take_over_s(place)
+        self.was_reader = self.rank is not None and (
+            self.rank == 0 or now - self.deferred_at >= self.find_patience()
+        )
+        return self.was_reader
+
+    def find_patience(self) -> float:
+        """Return the silence after which this node takes over, in seconds."""
+        place = self.rank / (N_GROUPS * (len(self.peers) + 1))
+        return self.times.take_over_s(min(1.0, place))
 
     def confirm(self, at: float) -> None:
         """Note that this node listed the store at a time (in seconds).
