Pass on when the store failed, not that it failed lately

The first request reached an upstream 2.356 s after its entry was removed; a removal is held back for 2.3 s while the store is suspected. An update said only that the reader's store had failed within 3 s, and each follower then suspected it for 3 s more, up to 6 s in all, when the rule holds again. Change: updates carry the time since the failure, and a suspicion is never renewed by an older failure.

--- a/foxtailway/platform/tests/test_feed.py
+++ b/foxtailway/platform/tests/test_feed.py
@@ -162,7 +162,7 @@
         self.store.status = 503
         self.store.cut_watches()
         await wait_until(lambda: self.feed.lost_at is not None)
-        await wait_until(lambda: self.node.peers.updates[-1].is_recovering)
+        await wait_until(lambda: self.node.peers.updates[-1].failure_age_ms < 60_000)
         self.assertGreater(self.node.peers.updates[-1].revision, 0)
 
     async def test_fed_node_leaves_the_store_alone_until_it_is_silent(self) -> None:
--- a/foxtailway/sidecar/feed_exchange.py
+++ b/foxtailway/sidecar/feed_exchange.py
@@ -195,7 +195,7 @@
             is_listing=base_revision is None,
             version=self.version,
             age_ms=int(min(MAX_AGE_S, now - self.known_at) * 1000),
-            is_recovering=self.membership.is_recovering(now),
+            failure_age_ms=int(min(MAX_AGE_S, now - self.membership.failed_at) * 1000),
             members=b"" if members == NO_MEMBER_CHANGE else pack(members),
             change=change,
         )
@@ -231,8 +231,8 @@
         reply : callable
             Sends a message back to the reader.
         """
-        if update.is_recovering:
-            self.membership.registry_failed(self.loop.time())
+        failed_at = self.loop.time() - update.failure_age_ms / 1000
+        self.membership.registry_failed(failed_at)
         change = self.read_update(update)
         if change is not None:
             self.take(change)
--- a/foxtailway/sidecar/peer_message.py
+++ b/foxtailway/sidecar/peer_message.py
@@ -179,9 +179,9 @@
         Version of the configuration that the reader has; 0 for none.
     age_ms : int
         Time since the store was known to have nothing newer, in milliseconds.
-    is_recovering : bool
-        Whether the store failed a moment ago, so that entries may be missing
-        from it.
+    failure_age_ms : int
+        Time since the store last failed for the reader, in milliseconds. Soon
+        after a failure entries may be missing from the store.
     members, change : bytes
         `MemberChange` and `ConfigurationChange` as packed by
         `foxtailway.sidecar.feed_content`; empty when nothing has changed.
@@ -194,7 +194,7 @@
     is_listing: bool
     version: int
     age_ms: int
-    is_recovering: bool
+    failure_age_ms: int
     members: bytes = field(repr=False)
     change: bytes = field(repr=False)
 
--- a/foxtailway/sidecar/tests/test_feed_exchange.py
+++ b/foxtailway/sidecar/tests/test_feed_exchange.py
@@ -12,7 +12,12 @@
 from foxtailway.traffic.configuration import ClientLimits, TrafficConfiguration
 from foxtailway.traffic.configuration_change import ConfigurationChange
 from foxtailway.traffic.feeding import FeedRoles, FeedTimes, HostCapacity
-from foxtailway.traffic.membership import Membership, Upstream, UpstreamState
+from foxtailway.traffic.membership import (
+    SUSPICION_S,
+    Membership,
+    Upstream,
+    UpstreamState,
+)
 from foxtailway.traffic.registry_change import RegistryChange
 from foxtailway.traffic.tests.builders import make_route, make_upstream
 
@@ -212,6 +217,12 @@
         self.reader.exchange.learn(make_change(10, 11, removed=("u-4",)), 0.0)
         self.assert_all(lambda node: "u-4" in node.membership.lapsed, True)
 
+    async def test_updates_after_an_outage_do_not_renew_the_suspicion(self) -> None:
+        now = self.reader.exchange.loop.time()
+        self.reader.membership.registry_failed(now - SUSPICION_S + 0.5)
+        self.reader.exchange.learn(make_change(10, 11), 0.0)
+        self.assert_all(lambda node: node.membership.is_recovering(now + 1.0), False)
+
     async def test_lapsed_entry_is_not_passed_on_in_a_listing(self) -> None:
         self.reader.membership.registry_failed(self.reader.exchange.loop.time())
         self.reader.exchange.learn(make_change(10, 11, removed=("u-4",)), 0.0)
@@ -230,7 +241,7 @@
             is_listing=False,
             version=2,
             age_ms=0,
-            is_recovering=False,
+            failure_age_ms=3_600_000,
             members=b"",
             change=b"\x00",
         )
--- a/foxtailway/sidecar/tests/test_peers.py
+++ b/foxtailway/sidecar/tests/test_peers.py
@@ -215,7 +215,7 @@
             is_listing=False,
             version=3,
             age_ms=0,
-            is_recovering=False,
+            failure_age_ms=3_600_000,
             members=b"",
             change=b"",
         )
--- a/foxtailway/traffic/membership.py
+++ b/foxtailway/traffic/membership.py
@@ -95,8 +95,8 @@
         self.failed_at = float("-inf")
 
     def registry_failed(self, now: float) -> None:
-        """Note that the registry could not be read."""
-        self.failed_at = now
+        """Note that the registry could not be read at a time (in seconds)."""
+        self.failed_at = max(self.failed_at, now)
 
     def is_recovering(self, now: float) -> bool:
         """Whether entries may be missing because the registry failed."""
