Never watch the store without a wait

Cause: not proved. A node that takes over asks with a wait of 0; if such a watch answers without the changes that lie ready but with the newest revision, they are passed over for good. Change: such a watch waits 50 ms.

--- a/foxtailway/platform/feed.py
+++ b/foxtailway/platform/feed.py
@@ -26,6 +26,9 @@
 
 # Longest wait of a watch of a node that feeds no other, in seconds.
 LONE_WAIT_S = 5.0
+# Wait of a watch that is to be answered at once, in seconds. The pages do not say
+# whether a watch without any wait returns the changes that lie ready.
+SHORT_WAIT_S = 0.05
 # Pause after an answer, so that a series of changes costs few calls.
 COALESCE_S = 0.3
 # Interval at which a follower looks whether it is still fed.
@@ -174,7 +177,8 @@
         now = self.loop.time()
         confirm_s = self.node.roles.times.confirm_s
         if self.node.roles.is_reader(now):
-            return 0.0 if now - self.exchange.known_at > confirm_s else confirm_s
+            is_late = now - self.exchange.known_at > confirm_s
+            return SHORT_WAIT_S if is_late else confirm_s
         return LONE_WAIT_S if self.lost_at is None else confirm_s
 
     def decode(
--- a/foxtailway/platform/tests/test_feed.py
+++ b/foxtailway/platform/tests/test_feed.py
@@ -184,7 +184,9 @@
         self.feed.exchange.known_at = now
         self.assertEqual(self.feed.choose_wait(), self.node.roles.times.confirm_s)
         self.feed.exchange.known_at = now - self.node.roles.times.take_over_s(0.0)
-        self.assertEqual(self.feed.choose_wait(), 0.0)
+        wait_s = self.feed.choose_wait()
+        self.assertEqual(wait_s, feed_module.SHORT_WAIT_S)
+        self.assertGreater(int(wait_s * 1000), 0)
 
     async def test_weak_host_waits_for_a_reader_after_its_listing(self) -> None:
         self.node.roles.capacity = HostCapacity(link_mbps=1.0, n_cores=1.0)
