Take an outage for ended when a reader feeds the node again

Ruled out: late updates (all sidecars logged the removal within 20 ms). Change: a node that is fed ends the outage, without a new suspicion; the reader's updates tell when the store failed.

--- a/foxtailway/platform/feed.py
+++ b/foxtailway/platform/feed.py
@@ -85,7 +85,7 @@
         while True:
             try:
                 if self.node.roles.is_fed(self.loop.time()):
-                    self.must_list = False
+                    self.rely_on_reader()
                     await asyncio.sleep(FOLLOW_INTERVAL_S)
                 elif self.must_list:
                     await self.list_all()
@@ -115,14 +115,28 @@
         if self.loop.time() - self.lost_at > MAX_CATCH_UP_S:
             self.must_list = True
 
+    def rely_on_reader(self) -> None:
+        """Note that a reader confirms what is known, so the store works.
+
+        Its updates tell when the store failed. An answer to this node, much
+        later, must not pass for the end of that failure.
+        """
+        self.must_list = False
+        if self.lost_at is not None:
+            self.end_outage()
+
+    def end_outage(self) -> None:
+        """Note that the store works again."""
+        self.lost_at = None
+        self.backoff_s = FIRST_BACKOFF_S
+        self.node.log.write("store_regained", revision=self.exchange.revision)
+
     def answered(self) -> None:
         """Note that the store works."""
         self.node.roles.store_delay_s = self.client.connect_s
-        self.backoff_s = FIRST_BACKOFF_S
         if self.lost_at is not None:
-            self.lost_at = None
             self.node.membership.registry_failed(self.loop.time())
-            self.node.log.write("store_regained", revision=self.exchange.revision)
+            self.end_outage()
 
     async def list_all(self) -> None:
         """Read all keys.
--- a/foxtailway/platform/tests/test_feed.py
+++ b/foxtailway/platform/tests/test_feed.py
@@ -188,6 +188,26 @@
         self.assertEqual(wait_s, feed_module.SHORT_WAIT_S)
         self.assertGreater(int(wait_s * 1000), 0)
 
+    async def test_answer_long_after_an_outage_does_not_renew_the_suspicion(
+        self,
+    ) -> None:
+        """A follower whose reader saw the store return, and that then reads itself."""
+        roles = self.node.roles
+        await self.feed.list_all()
+        now = self.feed.loop.time()
+        self.feed.lost_at = self.node.membership.failed_at = now - 12.0
+        roles.capacity = HostCapacity(link_mbps=1.0, n_cores=1.0)
+        self.node.membership_changed()
+        roles.confirm(now + 1e6)
+        task = asyncio.create_task(self.feed.run())
+        self.addAsyncCleanup(self.stop, task)
+        await asyncio.sleep(0.02)
+        roles.confirmed_at = roles.deferred_at = float("-inf")
+        await wait_until(lambda: self.store.calls[-1:] == ["/v1/kv-watch"])
+        self.store.put("servers/u-9", make_entry())
+        await wait_until(lambda: self.n_ready == 6)
+        self.assertFalse(self.node.membership.is_recovering(self.feed.loop.time()))
+
     async def test_weak_host_waits_for_a_reader_after_its_listing(self) -> None:
         self.node.roles.capacity = HostCapacity(link_mbps=1.0, n_cores=1.0)
         task = asyncio.create_task(self.feed.run())
