Tell hosts that leave before their links are closed

Change: a change is passed on, and relayed, between its adoption and the call that chooses roles and closes links; links close behind what was sent. Measured: test_change_reaches_every_node_without_a_request, whose network now closes links as the sidecar does, failed before; a test with real streams hung before.

--- a/foxtailway/platform/tests/test_feed.py
+++ b/foxtailway/platform/tests/test_feed.py
@@ -114,7 +114,7 @@
         overtaken = StorePage(items=(removed,), revision=90, has_more=False)
 
         async def watch(_prefix: str, _after: int, _wait_s: float) -> StorePage:
-            self.feed.exchange.take(
+            self.feed.exchange.adopt(
                 RegistryChange(
                     base_revision=self.feed.exchange.revision,
                     revision=95,
--- a/foxtailway/sidecar/feed_exchange.py
+++ b/foxtailway/sidecar/feed_exchange.py
@@ -116,21 +116,31 @@
         """
         before = self.configuration
         fed = self.list_fed()
-        self.take(change)
+        is_changed = self.adopt(change)
         self.known_at = self.loop.time() - age_s
-        # Hosts that leave by this change, this one too, are told as well.
-        fed = tuple(dict.fromkeys(fed + self.list_fed()))
-        if not fed:
-            return
+        update = None
+        if fed:
+            # Hosts that leave by this change are told before their links close.
+            update = self.describe(change, before)
+            self.peers.broadcast(fed, update)
+        if is_changed:
+            self.on_membership_change()
+        joined = tuple(address for address in self.list_fed() if address not in fed)
+        if joined:
+            self.peers.broadcast(joined, update or self.describe(change, before))
+
+    def describe(
+        self, change: RegistryChange, before: TrafficConfiguration | None
+    ) -> PeerUpdate:
+        """Return the update that tells of a change that was adopted."""
         packed = b""
         if self.configuration is not before:
             packed = pack(compare_configurations(before, self.configuration))
-        update = self.make_update(
+        return self.make_update(
             base_revision=change.base_revision,
             members=MemberChange(upstreams=change.upstreams, removed=change.removed),
             change=packed,
         )
-        self.peers.broadcast(fed, update)
 
     def list_fed(self) -> tuple[str, ...]:
         """Return the hosts that this node feeds; none unless it is a reader."""
@@ -234,17 +244,22 @@
         failed_at = self.loop.time() - update.failure_age_ms / 1000
         self.membership.registry_failed(failed_at)
         change = self.read_update(update)
-        if change is not None:
-            self.take(change)
-        if change is None or update.version > self.version:
+        is_changed = change is not None and self.adopt(change)
+        is_complete = change is not None and update.version <= self.version
+        if is_complete:
+            self.confirm(update)
+        if is_changed:
+            self.on_membership_change()
+        if not is_complete:
             self.request_listing(reply)
-            return
-        known_at = self.loop.time() - update.age_ms / 1000
+
+    def confirm(self, update: PeerUpdate) -> None:
+        """Note that an update is known whole, and relay one of another region."""
+        now = self.loop.time()
+        known_at = now - update.age_ms / 1000
         self.known_at = max(self.known_at, known_at)
         self.roles.confirm_by(known_at, update.reader, update.rank)
-        if update.reader in self.roles.foreign_peers and self.roles.is_reader(
-            self.loop.time()
-        ):
+        if update.reader in self.roles.foreign_peers and self.roles.is_reader(now):
             self.relay(update)
 
     def read_update(self, update: PeerUpdate) -> RegistryChange | None:
@@ -286,12 +301,16 @@
         self.requested_at = now
         reply(PeerFeedRequest(version=self.version))
 
-    def take(self, change: RegistryChange) -> None:
-        """Take over changes."""
+    def adopt(self, change: RegistryChange) -> bool:
+        """Take over changes; return whether upstreams may have changed.
+
+        The caller announces that by `on_membership_change`, after it has passed
+        the changes on.
+        """
         now = self.loop.time()
-        is_changed = bool(change.upstreams or change.removed)
-        if change.base_revision is None:
-            is_changed = True
+        is_listing = change.base_revision is None
+        is_changed = is_listing or bool(change.upstreams or change.removed)
+        if is_listing:
             self.membership.replace_all(change.upstreams, now)
         elif is_changed:
             self.log_changes(change)
@@ -299,8 +318,7 @@
         self.revision = max(self.revision or 0, change.revision)
         if change.configuration is not None:
             self.take_configuration(change.configuration)
-        if is_changed:
-            self.on_membership_change()
+        return is_changed
 
     def take_configuration(self, configuration: TrafficConfiguration) -> None:
         """Put a configuration in force, unless it is not newer."""
--- a/foxtailway/sidecar/peer_listener.py
+++ b/foxtailway/sidecar/peer_listener.py
@@ -132,7 +132,7 @@
         if self.server is not None:
             self.server.close()
         for stream in list(self.streams):
-            stream.transport.close()
+            stream.finish()
 
 
 def read_call(message: PeerRequest, now: float) -> UpstreamCall:
--- a/foxtailway/sidecar/peer_pool.py
+++ b/foxtailway/sidecar/peer_pool.py
@@ -251,13 +251,13 @@
                         pending.call.on_suspicion()
 
     def close(self) -> None:
-        """Close all streams."""
+        """Close all streams behind what was sent."""
         if self.prober is not None:
             self.prober.cancel()
         if self.connecting is not None:
             self.connecting.cancel()
         for stream in list(self.streams):
-            stream.close()
+            stream.finish()
 
 
 class PendingCall:
--- a/foxtailway/sidecar/peer_stream.py
+++ b/foxtailway/sidecar/peer_stream.py
@@ -115,6 +115,12 @@
         if self.is_open and not self.transport.is_closing():
             self.transport.write(encoded)
 
+    def finish(self) -> None:
+        """Close the stream behind what was sent; idempotent."""
+        self.is_open = False
+        if self.transport is not None:
+            self.transport.close()
+
     def close(self) -> None:
         """Close the stream at once; idempotent."""
         self.is_open = False
--- a/foxtailway/sidecar/tests/test_feed_exchange.py
+++ b/foxtailway/sidecar/tests/test_feed_exchange.py
@@ -67,6 +67,7 @@
         self.zone = zone
         self.network = network
         self.applied: list[int] = []
+        self.linked: set[str] = set()
         self.membership = Membership()
         self.roles = FeedRoles(
             address=address,
@@ -84,6 +85,8 @@
         )
 
     def choose_roles(self) -> None:
+        # Links to hosts that are gone are closed.
+        self.linked = {item.address for item in self.membership.upstreams.values()}
         self.roles.update(
             self.membership.upstreams.values(),
             self.zone,
@@ -92,12 +95,19 @@
 
     def broadcast(self, addresses: tuple[str, ...], update: PeerUpdate) -> None:
         for address in addresses:
-            self.network.deliver(address, update)
+            if address in self.linked:
+                self.network.deliver(address, update)
 
     def send(self, address: str, update: PeerUpdate) -> None:
         self.network.deliver(address, update)
 
 
+def take(node: Node, change: RegistryChange) -> None:
+    """Let a node know a change without passing it on."""
+    if node.exchange.adopt(change):
+        node.choose_roles()
+
+
 def make_change(
     base: int | None,
     revision: int,
@@ -120,7 +130,7 @@
         self.network = Network()
         self.nodes = list(self.network.nodes.values())
         for node in self.nodes:
-            node.exchange.take(make_change(None, 10, upstreams=UPSTREAMS, version=1))
+            take(node, make_change(None, 10, upstreams=UPSTREAMS, version=1))
             node.roles.confirm(node.exchange.loop.time())
         self.reader = next(node for node in self.nodes if node.roles.rank == 0)
         self.followers = [node for node in self.nodes if node is not self.reader]
@@ -191,7 +201,7 @@
         self.assertEqual(len(requests), 2)
 
     async def test_older_version_is_never_applied(self) -> None:
-        self.followers[0].exchange.take(make_change(10, 15, version=9))
+        take(self.followers[0], make_change(10, 15, version=9))
         self.reader.exchange.learn(make_change(10, 14, version=4), 0.0)
         self.assertEqual(self.followers[0].applied, [1, 9])
         self.assertEqual(self.followers[1].applied, [1, 4])
@@ -199,7 +209,7 @@
     async def test_overtaken_update_undoes_nothing(self) -> None:
         follower = self.followers[0]
         back = make_upstream("u-4", born_ms=2_000)
-        follower.exchange.take(make_change(10, 20, upstreams=(back,)))
+        take(follower, make_change(10, 20, upstreams=(back,)))
         self.reader.exchange.learn(make_change(10, 14, removed=("u-4",)), 0.0)
         self.assertIn("u-4", follower.membership.upstreams)
         self.assertEqual(follower.exchange.revision, 20)
@@ -267,7 +277,7 @@
             for number, address in enumerate(west)
         )
         for node in self.network.nodes.values():
-            node.exchange.take(make_change(None, 10, upstreams=upstreams, version=1))
+            take(node, make_change(None, 10, upstreams=upstreams, version=1))
             node.roles.confirm(node.exchange.loop.time())
             node.roles.store_delay_s = 0.026 if node.zone == "zone-w" else 0.003
         self.readers = {
--- a/foxtailway/sidecar/tests/test_peers.py
+++ b/foxtailway/sidecar/tests/test_peers.py
@@ -197,6 +197,25 @@
             for pending in calls.values():
                 pending.sent_at -= duration_s
 
+    async def test_message_sent_just_before_a_host_is_dropped_arrives(self) -> None:
+        self.runner.released.set()
+        await self.start_call()
+        update = PeerUpdate(
+            reader="127.0.0.1",
+            rank=0,
+            base_revision=1,
+            revision=2,
+            is_listing=False,
+            version=3,
+            age_ms=0,
+            failure_age_ms=3_600_000,
+            members=b"x" * 4_000_000,
+            change=b"",
+        )
+        self.pool.send("127.0.0.1", update)
+        self.pool.retain(frozenset())
+        await wait_until(lambda: self.updates == [update])
+
     async def test_crash_is_told_to_all_callers(self) -> None:
         self.runner.released.set()
         await self.start_call()
