Give shared pieces of the sidecar one place each

Found in review. No behaviour changed. - A link to a peer takes its pool instead of five of the pool's members. - Ranking of hosts and of names is one function. - Whether a node was a reader follows from the moment its membership changes instead of being noted when it is asked. - The age in an update and the test for a server's failure stand once.

--- a/foxtailway/platform/tests/test_feed.py
+++ b/foxtailway/platform/tests/test_feed.py
@@ -58,7 +58,10 @@
 
     def membership_changed(self) -> None:
         self.roles.update(
-            self.membership.upstreams.values(), "zone-a", {"zone-a": "east"}
+            self.membership.upstreams.values(),
+            "zone-a",
+            {"zone-a": "east"},
+            asyncio.get_running_loop().time(),
         )
 
 
--- a/foxtailway/routing/rendezvous.py
+++ b/foxtailway/routing/rendezvous.py
@@ -6,7 +6,7 @@
 
 from foxtailway.model.host import Host
 
-__all__ = ["choose_host", "choose_hosts", "choose_names"]
+__all__ = ["choose_host", "choose_hosts", "rank_names"]
 
 
 def choose_host(key: str, hosts: Iterable[Host]) -> Host | None:
@@ -25,19 +25,15 @@
 
 def choose_hosts(key: str, hosts: Iterable[Host], n_hosts: int) -> tuple[Host, ...]:
     """Return the `n_hosts` hosts that rank first for a key."""
-    seed = xxh3_64_intdigest(key.encode())
-    ranked = sorted(
-        hosts,
-        key=lambda host: xxh3_64_intdigest(host.host_id.encode(), seed),
-        reverse=True,
-    )
-    return tuple(ranked[:n_hosts])
+    by_name = {host.host_id: host for host in hosts}
+    return tuple(by_name[name] for name in rank_names(key, by_name)[:n_hosts])
 
 
-def choose_names(key: str, names: Iterable[str], n_names: int) -> tuple[str, ...]:
-    """Return the `n_names` names that rank first for a key."""
+def rank_names(key: str, names: Iterable[str]) -> tuple[str, ...]:
+    """Return names in the order in which they rank for a key, the first first."""
     seed = xxh3_64_intdigest(key.encode())
-    ranked = sorted(
-        names, key=lambda name: xxh3_64_intdigest(name.encode(), seed), reverse=True
+    return tuple(
+        sorted(
+            names, key=lambda name: xxh3_64_intdigest(name.encode(), seed), reverse=True
+        )
     )
-    return tuple(ranked[:n_names])
--- a/foxtailway/sidecar/dispatcher.py
+++ b/foxtailway/sidecar/dispatcher.py
@@ -30,7 +30,6 @@
     RefusalReason.MALFORMED: 400,
 }
 UNKNOWN_STATUSES = {RefusalReason.EXPIRED: 504}
-LOWEST_FAILURE_STATUS = 500
 ANSWER_BAD_GATEWAY = 502
 ANSWER_UNAVAILABLE = 503
 
@@ -130,7 +129,7 @@
             return self.conclude(request, planned.service, result, started)
         status = result.answer.status
         self.metrics.count_answer(planned.service, status, self.loop.time() - started)
-        if status >= LOWEST_FAILURE_STATUS:
+        if result.answer.is_server_error:
             self.log.write(
                 "upstream_failed",
                 request.request_id,
--- a/foxtailway/sidecar/feed_exchange.py
+++ b/foxtailway/sidecar/feed_exchange.py
@@ -184,7 +184,7 @@
             update,
             reader=self.address,
             rank=self.roles.rank,
-            age_ms=int(min(MAX_AGE_S, now - self.known_at) * 1000),
+            age_ms=measure_age_ms(self.known_at, now),
         )
         self.peers.broadcast(self.roles.peers, relayed)
 
@@ -204,8 +204,8 @@
             revision=self.revision,
             is_listing=base_revision is None,
             version=self.version,
-            age_ms=int(min(MAX_AGE_S, now - self.known_at) * 1000),
-            failure_age_ms=int(min(MAX_AGE_S, now - self.membership.failed_at) * 1000),
+            age_ms=measure_age_ms(self.known_at, now),
+            failure_age_ms=measure_age_ms(self.membership.failed_at, now),
             members=b"" if members == NO_MEMBER_CHANGE else pack(members),
             change=change,
         )
@@ -346,3 +346,8 @@
             self.log.write(
                 "upstream_removed", upstream=upstream_id, revision=change.revision
             )
+
+
+def measure_age_ms(at: float, now: float) -> int:
+    """Return the time since `at` in milliseconds, `MAX_AGE_S` at the most."""
+    return int(min(MAX_AGE_S, now - at) * 1000)
--- a/foxtailway/sidecar/http_message.py
+++ b/foxtailway/sidecar/http_message.py
@@ -34,6 +34,7 @@
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode()
     for status in HTTPStatus
 }
+LOWEST_SERVER_ERROR = 500
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -109,6 +110,11 @@
     head: bytes = field(default=b"", repr=False)
     body: bytes = field(default=b"", repr=False)
 
+    @property
+    def is_server_error(self) -> bool:
+        """Whether the status tells of a failure of the server."""
+        return self.status >= LOWEST_SERVER_ERROR
+
 
 def encode_headers(headers: Iterable[tuple[bytes, bytes]]) -> bytes:
     r"""Return header lines for pairs of name and value.
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -262,7 +262,10 @@
         """Drop what is known of upstreams that are gone and choose readers."""
         upstreams = self.membership.upstreams
         self.roles.update(
-            upstreams.values(), self.settings.zone, self.settings.zone_regions
+            upstreams.values(),
+            self.settings.zone,
+            self.settings.zone_regions,
+            self.loop.time(),
         )
         self.selector.retain(frozenset(upstreams))
         self.peers.retain(frozenset(item.address for item in upstreams.values()))
--- a/foxtailway/sidecar/offer.py
+++ b/foxtailway/sidecar/offer.py
@@ -20,8 +20,6 @@
 
 __all__ = ["OfferDesk"]
 
-LOWEST_FAILURE_STATUS = 500
-
 
 class OfferDesk:
     """Offer a request to one upstream and learn from what comes back.
@@ -149,7 +147,7 @@
         if isinstance(result, UpstreamAnswer):
             request = planned.request
             self.guard.record_success(request.method, request.target, request.body)
-            if result.answer.status < LOWEST_FAILURE_STATUS:
+            if not result.answer.is_server_error:
                 self.selector.record_run(
                     view, planned.route.name, result.run_time_s, now
                 )
--- a/foxtailway/sidecar/peer_pool.py
+++ b/foxtailway/sidecar/peer_pool.py
@@ -58,34 +58,14 @@
     ----------
     address : str
         IP address of the peer.
-    port : int
-        Port on which it takes streams.
-    codec : MessagePlans
-        Codec of the streams.
-    guard : CrashGuard
-        Learns of requests that crash upstreams.
-    on_feed_request : callable
-        Called with the address of a peer that asks for a listing.
-    log : EventLog
-        Receiver of events.
+    pool : PeerPool
+        Pool of the link.
     """
 
-    def __init__(
-        self,
-        *,
-        address: str,
-        port: int,
-        codec: MessagePlans,
-        guard: CrashGuard,
-        on_feed_request: Callable[[str], None],
-        log: EventLog,
-    ) -> None:
-        self.guard = guard
-        self.on_feed_request = on_feed_request
+    def __init__(self, *, address: str, pool: "PeerPool") -> None:
         self.address = address
-        self.port = port
-        self.codec = codec
-        self.log = log
+        self.pool = pool
+        self.log = pool.log
         self.loop = asyncio.get_running_loop()
         self.call_ids = count(1)
         self.streams: dict[PeerStream, dict[int, PendingCall]] = {}
@@ -167,9 +147,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await self.loop.create_connection(
-                    lambda: PeerStream(owner=self, codec=self.codec, log=self.log),
+                    lambda: PeerStream(owner=self, codec=self.pool.codec, log=self.log),
                     self.address,
-                    self.port,
+                    self.pool.port,
                 )
         except (OSError, TimeoutError) as error:
             if not self.streams:
@@ -200,9 +180,9 @@
             case PeerGoodbye():
                 self.blocked_until = self.loop.time() + GOODBYE_S
             case PeerCrash():
-                self.guard.record_crash(message.fingerprint, message.upstream_id)
+                self.pool.guard.record_crash(message.fingerprint, message.upstream_id)
             case PeerFeedRequest():
-                self.on_feed_request(self.address)
+                self.pool.on_feed_request(self.address)
             case PeerPong():
                 return
             case _:
@@ -339,14 +319,7 @@
         """Return the link to an address."""
         link = self.links.get(address)
         if link is None:
-            link = PeerLink(
-                address=address,
-                port=self.port,
-                codec=self.codec,
-                guard=self.guard,
-                on_feed_request=self.on_feed_request,
-                log=self.log,
-            )
+            link = PeerLink(address=address, pool=self)
             self.links[address] = link
         return link
 
--- a/foxtailway/sidecar/tests/test_feed_exchange.py
+++ b/foxtailway/sidecar/tests/test_feed_exchange.py
@@ -91,6 +91,7 @@
             self.membership.upstreams.values(),
             self.zone,
             {"zone-a": "east", "zone-w": "west"},
+            self.exchange.loop.time(),
         )
 
     def broadcast(self, addresses: tuple[str, ...], update: PeerUpdate) -> None:
--- a/foxtailway/traffic/feeding.py
+++ b/foxtailway/traffic/feeding.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from foxtailway.routing.rendezvous import choose_names
+from foxtailway.routing.rendezvous import rank_names
 from foxtailway.traffic.membership import Upstream, UpstreamState
 
 __all__ = [
@@ -133,8 +133,6 @@
     rank : int or None
         Place of this node in the order in which nodes become readers, 0 for the
         first; None while its host is not registered, unless it still reads.
-    was_reader : bool
-        Whether this node was a reader when it was last asked.
     peers : tuple of str
         Addresses of the region's other hosts.
     confirmed_at : float
@@ -174,7 +172,6 @@
         self.capacity = capacity
         self.times = times
         self.rank: int | None = None
-        self.was_reader = False
         self.peers: tuple[str, ...] = ()
         self.confirmed_at = float("-inf")
         self.deferred_at = float("-inf")
@@ -185,9 +182,26 @@
         self.store_delay_s = float("inf")
 
     def update(
-        self, upstreams: Iterable[Upstream], zone: str, zone_regions: Mapping[str, str]
+        self,
+        upstreams: Iterable[Upstream],
+        zone: str,
+        zone_regions: Mapping[str, str],
+        now: float,
     ) -> None:
-        """Choose the rank anew after the membership changed."""
+        """Choose the rank anew after the membership changed.
+
+        Parameters
+        ----------
+        upstreams : iterable of Upstream
+            Upstreams that exist.
+        zone : str
+            Availability zone of this node.
+        zone_regions : Mapping of str to str
+            Region of each availability zone.
+        now : float
+            Time in seconds.
+        """
+        was_reader = self.is_reader(now)
         region = zone_regions.get(zone)
         addresses: set[str] = set()
         foreign: set[str] = set()
@@ -199,10 +213,10 @@
             (addresses if is_near else foreign).add(upstream.address)
         self.region = region
         self.foreign_peers = frozenset(foreign - addresses)
-        order = choose_names(f"readers of {region}", addresses, len(addresses))
+        order = rank_names(f"readers of {region}", addresses)
         self.peers = tuple(address for address in order if address != self.address)
         if self.address not in addresses:
-            self.rank = N_GROUPS * len(order) if self.was_reader else None
+            self.rank = N_GROUPS * len(order) if was_reader else None
             return
         is_last = not self.capacity.can_feed or is_leaving
         n_before = len(order) if is_last else 0
@@ -210,10 +224,9 @@
 
     def is_reader(self, now: float) -> bool:
         """Whether this node follows the store for others."""
-        self.was_reader = self.rank is not None and (
-            self.rank == 0 or now - self.deferred_at >= self.find_patience()
-        )
-        return self.was_reader
+        if self.rank is None:
+            return False
+        return self.rank == 0 or now - self.deferred_at >= self.find_patience()
 
     def find_patience(self) -> float:
         """Return the silence after which this node takes over, in seconds."""
--- a/foxtailway/traffic/tests/test_feeding.py
+++ b/foxtailway/traffic/tests/test_feeding.py
@@ -20,7 +20,7 @@
 def make_roles(address: str, capacity: HostCapacity = ABLE) -> FeedRoles:
     roles = FeedRoles(address=address, capacity=capacity, times=TIMES)
     zones = {upstream.address: upstream.zone for upstream in UPSTREAMS}
-    roles.update(UPSTREAMS, zones.get(address, "zone-a"), REGIONS)
+    roles.update(UPSTREAMS, zones.get(address, "zone-a"), REGIONS, 0.0)
     roles.confirm(0.0)
     return roles
 
@@ -95,7 +95,7 @@
         first = next(item for item in make_region() if item.rank == 0)
         second = next(item for item in make_region() if item.rank == 1)
         self.assertTrue(first.is_reader(49.0))
-        first.update(members, "zone-a", REGIONS)
+        first.update(members, "zone-a", REGIONS, 49.0)
         self.assertLess(second.rank, first.rank)
         self.assertTrue(first.is_reader(50.0))
         second.confirm_by(50.0, first.address, first.rank)
