--- a/foxtailway/sidecar/tests/support.py
+++ b/foxtailway/sidecar/tests/support.py
@@ -6,9 +6,11 @@
 import struct
 from collections.abc import Awaitable, Callable
 
-from foxtailway.sidecar.call import UpstreamCall
-from foxtailway.sidecar.http_message import ClientRequest, HeaderNames
+from foxtailway.routing.outcome import Outcome, RefusalReason
+from foxtailway.sidecar.call import CallRefusal, UpstreamAnswer, UpstreamCall
+from foxtailway.sidecar.http_message import Answer, ClientRequest, HeaderNames
 from foxtailway.sidecar.log import EventLog
+from foxtailway.sidecar.peer_message import PeerUpdate
 
 NAMES = HeaderNames(
     request_id=b"x-request-id",
@@ -23,6 +25,12 @@
 PATIENCE_S = 60.0
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
+# Results of calls.
+DONE = UpstreamAnswer(answer=Answer(status=200), run_time_s=0.01, load=None)
+FAILED = UpstreamAnswer(answer=Answer(status=500), run_time_s=0.01, load=None)
+BUSY = CallRefusal(outcome=Outcome.NOT_RUN, reason=RefusalReason.OVERLOADED)
+LOST = CallRefusal(outcome=Outcome.UNKNOWN, reason=RefusalReason.LOST, is_offered=True)
+
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter, str], Awaitable[None]]
 
 
@@ -62,6 +70,23 @@
     return ClientRequest(**(fields | changes))
 
 
+def make_update(**changes: object) -> PeerUpdate:
+    """Return an update of a reader that holds nothing, with some fields changed."""
+    fields = {
+        "reader": "127.0.0.1",
+        "rank": 0,
+        "base_revision": 1,
+        "revision": 2,
+        "is_listing": False,
+        "version": 3,
+        "age_ms": 0,
+        "failure_age_ms": 3_600_000,
+        "members": b"",
+        "change": b"",
+    }
+    return PeerUpdate(**(fields | changes))
+
+
 def make_call(now: float, **changes: object) -> UpstreamCall:
     """Return a call, with some fields changed."""
     fields = {
--- a/foxtailway/sidecar/tests/test_carriage.py
+++ b/foxtailway/sidecar/tests/test_carriage.py
@@ -3,19 +3,19 @@
 from unittest import IsolatedAsyncioTestCase
 
 from foxtailway.common.clock import ManualClock
-from foxtailway.routing.outcome import Outcome, RefusalReason
 from foxtailway.sidecar.call import (
-    CallRefusal,
     CallResult,
-    UpstreamAnswer,
     UpstreamCall,
 )
 from foxtailway.sidecar.carriage import Carriage
 from foxtailway.sidecar.crash_guard import CrashGuard
-from foxtailway.sidecar.http_message import Answer
 from foxtailway.sidecar.offer import OfferDesk
 from foxtailway.sidecar.planned_request import PlannedRequest
 from foxtailway.sidecar.tests.support import (
+    BUSY,
+    DONE,
+    FAILED,
+    LOST,
     PATIENCE_S,
     make_client_request,
     make_log,
@@ -26,10 +26,6 @@
 from foxtailway.traffic.selection import LoadReport, UpstreamSelector
 from foxtailway.traffic.tests.builders import make_route, make_upstream
 
-DONE = UpstreamAnswer(answer=Answer(status=200), run_time_s=0.01, load=None)
-FAILED = UpstreamAnswer(answer=Answer(status=500), run_time_s=0.01, load=None)
-BUSY = CallRefusal(outcome=Outcome.NOT_RUN, reason=RefusalReason.OVERLOADED)
-LOST = CallRefusal(outcome=Outcome.UNKNOWN, reason=RefusalReason.LOST, is_offered=True)
 FULL = LoadReport(n_busy=4, n_slots=4, run_time_s=0.05)
 
 
--- a/foxtailway/sidecar/tests/test_dispatcher.py
+++ b/foxtailway/sidecar/tests/test_dispatcher.py
@@ -8,7 +8,6 @@
 from foxtailway.sidecar.call import (
     CallRefusal,
     CallResult,
-    UpstreamAnswer,
     UpstreamCall,
 )
 from foxtailway.sidecar.crash_guard import CrashGuard
@@ -17,6 +16,10 @@
 from foxtailway.sidecar.metrics import SidecarMetrics
 from foxtailway.sidecar.offer import OfferDesk
 from foxtailway.sidecar.tests.support import (
+    BUSY,
+    DONE,
+    FAILED,
+    LOST,
     NAMES,
     PATIENCE_S,
     make_client_request,
@@ -27,13 +30,9 @@
 from foxtailway.traffic.selection import UpstreamSelector
 from foxtailway.traffic.tests.builders import make_route, make_upstream
 
-DONE = UpstreamAnswer(answer=Answer(status=200), run_time_s=0.01, load=None)
-FAILED = UpstreamAnswer(answer=Answer(status=500), run_time_s=0.01, load=None)
-BUSY = CallRefusal(outcome=Outcome.NOT_RUN, reason=RefusalReason.OVERLOADED)
 SHED = CallRefusal(
     outcome=Outcome.NOT_RUN, reason=RefusalReason.OVERLOADED, is_offered=True
 )
-LOST = CallRefusal(outcome=Outcome.UNKNOWN, reason=RefusalReason.LOST, is_offered=True)
 
 
 class ScriptedPeers:
--- a/foxtailway/sidecar/tests/test_feed_exchange.py
+++ b/foxtailway/sidecar/tests/test_feed_exchange.py
@@ -8,7 +8,7 @@
     FeedExchange,
 )
 from foxtailway.sidecar.peer_message import PeerFeedRequest, PeerReader, PeerUpdate
-from foxtailway.sidecar.tests.support import make_log
+from foxtailway.sidecar.tests.support import make_log, make_update
 from foxtailway.traffic.configuration import ClientLimits, TrafficConfiguration
 from foxtailway.traffic.configuration_change import ConfigurationChange
 from foxtailway.traffic.feeding import FeedRoles, FeedTimes, HostCapacity
@@ -244,16 +244,11 @@
 
     async def test_malformed_content_changes_nothing(self) -> None:
         follower = self.followers[0]
-        update = PeerUpdate(
+        update = make_update(
             reader="10.0.0.77",
-            rank=0,
             base_revision=10,
             revision=12,
-            is_listing=False,
             version=2,
-            age_ms=0,
-            failure_age_ms=3_600_000,
-            members=b"",
             change=b"\x00",
         )
         follower.exchange.receive(update, lambda _request: None)
--- a/foxtailway/sidecar/tests/test_peers.py
+++ b/foxtailway/sidecar/tests/test_peers.py
@@ -18,7 +18,13 @@
 from foxtailway.sidecar.peer_message import PeerCrash, PeerFeedRequest, PeerUpdate
 from foxtailway.sidecar.peer_pool import LOST_AFTER_S, SUSPECT_AFTER_S, PeerPool
 from foxtailway.sidecar.peer_stream import make_peer_codec
-from foxtailway.sidecar.tests.support import PATIENCE_S, make_call, make_log, wait_until
+from foxtailway.sidecar.tests.support import (
+    PATIENCE_S,
+    make_call,
+    make_log,
+    make_update,
+    wait_until,
+)
 from foxtailway.traffic.selection import LoadReport
 
 LOAD = LoadReport(n_busy=3, n_slots=4, run_time_s=0.05)
@@ -200,18 +206,7 @@
     async def test_message_sent_just_before_a_host_is_dropped_arrives(self) -> None:
         self.runner.released.set()
         await self.start_call()
-        update = PeerUpdate(
-            reader="127.0.0.1",
-            rank=0,
-            base_revision=1,
-            revision=2,
-            is_listing=False,
-            version=3,
-            age_ms=0,
-            failure_age_ms=3_600_000,
-            members=b"x" * 4_000_000,
-            change=b"",
-        )
+        update = make_update(members=b"x" * 4_000_000)
         self.pool.send("127.0.0.1", update)
         self.pool.retain(frozenset())
         await wait_until(lambda: self.updates == [update])
@@ -226,18 +221,7 @@
         await wait_until(lambda: len(suspects["f"].crashed_hosts) == 2)
 
     async def test_update_reaches_a_peer_and_its_answer_comes_back(self) -> None:
-        update = PeerUpdate(
-            reader="127.0.0.1",
-            rank=0,
-            base_revision=1,
-            revision=2,
-            is_listing=False,
-            version=3,
-            age_ms=0,
-            failure_age_ms=3_600_000,
-            members=b"",
-            change=b"",
-        )
+        update = make_update()
         self.pool.send("127.0.0.1", update)
         await wait_until(lambda: bool(self.link.streams))
         self.pool.send("127.0.0.1", update)
