Bound the pauses of cut-off nodes by the time to apply

Change: the longest mean pause is 0.6 of the time within which a configuration has to be in force, 0.9 of it with jitter.

--- a/foxtailway/platform/feed.py
+++ b/foxtailway/platform/feed.py
@@ -40,11 +40,10 @@
 # Outage after which the keys are listed anew: the changes since then may hold
 # many versions of the configuration, of which only the last is of use.
 MAX_CATCH_UP_S = 1.0
-# Pauses after failed calls. Nodes that read for others come back sooner; the
-# others are fed by them when the store returns.
+# Pauses after failed calls, in seconds. Nodes that read for others come back
+# sooner; `FeedTimes` bounds the pauses of the others.
 FIRST_BACKOFF_S = 0.15
 MAX_READER_BACKOFF_S = 0.8
-MAX_BACKOFF_S = 4.0
 ALL_KEYS = ""
 
 
@@ -110,7 +109,9 @@
         self.exchange.repeat_age()
         await asyncio.sleep(self.backoff_s * (0.5 + self.random_source.random()))
         is_reader = self.node.roles.is_reader(self.loop.time())
-        limit_s = MAX_READER_BACKOFF_S if is_reader else MAX_BACKOFF_S
+        limit_s = self.node.roles.times.retry_s
+        if is_reader:
+            limit_s = min(limit_s, MAX_READER_BACKOFF_S)
         self.backoff_s = min(limit_s, self.backoff_s * 2)
         if self.loop.time() - self.lost_at > MAX_CATCH_UP_S:
             self.must_list = True
--- a/foxtailway/platform/tests/test_feed.py
+++ b/foxtailway/platform/tests/test_feed.py
@@ -9,7 +9,7 @@
 from foxtailway.platform import feed as feed_module
 from foxtailway.platform import store as store_module
 from foxtailway.platform.feed import StoreFeed
-from foxtailway.platform.store import StoreClient, StoreItem, StorePage
+from foxtailway.platform.store import StoreClient, StoreError, StoreItem, StorePage
 from foxtailway.platform.tests.documents import make_configuration, make_entry
 from foxtailway.platform.tests.store_stand_in import StoreStandIn
 from foxtailway.sidecar.feed_exchange import FeedExchange
@@ -71,7 +71,6 @@
             "COALESCE_S",
             "FOLLOW_INTERVAL_S",
             "FIRST_BACKOFF_S",
-            "MAX_BACKOFF_S",
             "MAX_READER_BACKOFF_S",
         ):
             patcher = patch.object(feed_module, name, 0.0)
@@ -211,6 +210,25 @@
         await wait_until(lambda: self.n_ready == 6)
         self.assertFalse(self.node.membership.is_recovering(self.feed.loop.time()))
 
+    async def test_node_is_back_within_the_time_to_apply_after_a_long_cut(self) -> None:
+        """A node cut off from the store and from all others for a long time."""
+        pauses: list[float] = []
+
+        async def note(pause_s: float) -> None:
+            pauses.append(pause_s)
+
+        self.feed.backoff_s = 0.15
+        self.feed.random_source.random = lambda: 1.0
+        error = StoreError(step="kv-watch", peer="10.9.0.1:8309", detail="timeout")
+        with (
+            patch.object(feed_module.asyncio, "sleep", note),
+            patch.object(feed_module, "MAX_READER_BACKOFF_S", 0.8),
+        ):
+            for _ in range(20):
+                await self.feed.back_off(error)
+        self.assertGreater(max(pauses), 0.5)
+        self.assertLessEqual(max(pauses), self.node.roles.times.apply_s)
+
     async def test_weak_host_waits_for_a_reader_after_its_listing(self) -> None:
         self.node.roles.capacity = HostCapacity(link_mbps=1.0, n_cores=1.0)
         task = asyncio.create_task(self.feed.run())
--- a/foxtailway/traffic/feeding.py
+++ b/foxtailway/traffic/feeding.py
@@ -25,6 +25,9 @@
 FIRST_TAKE_OVER_SHARE = 0.45
 LAST_TAKE_OVER_SHARE = 0.65
 UNFED_SHARE = 0.7
+# Part of that time for the mean of the longest pauses between calls to a store
+# that fails; with jitter they are half as long again.
+RETRY_SHARE = 0.6
 # Groups of the ranking: strong hosts, then weak hosts and those that leave.
 N_GROUPS = 2
 # Interval at which a reader makes itself known to other regions, and time for
@@ -81,6 +84,14 @@
         """Age of a confirmation from which a node reads the store itself."""
         return UNFED_SHARE * self.apply_s
 
+    @property
+    def retry_s(self) -> float:
+        """Longest mean pause between calls to a store that fails, in seconds.
+
+        A node that was cut off, and that nobody feeds, is back in time.
+        """
+        return RETRY_SHARE * self.apply_s
+
     def take_over_s(self, place: float) -> float:
         """Return the age of a confirmation from which a node takes over.
 
