Use the pause detector and one list of hop-by-hop headers

Found in review. No behaviour changed. - The link to a peer noted by itself that the process had not run for a while; routing.PauseDetector does that already. - proxy.header and the sidecar held the same header names; both take them from foxtailway.common.

--- a/foxtailway/proxy/header.py
+++ b/foxtailway/proxy/header.py
@@ -4,6 +4,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from foxtailway.common.hop_by_hop import HOP_BY_HOP_NAMES
 from foxtailway.proxy.message import Header
 from foxtailway.routing.outcome import Outcome, Refusal, RefusalReason
 
@@ -27,22 +28,8 @@
 REASON_HEADER = "X-Foxtailway-Reason"
 IDEMPOTENCY_HEADER = "Idempotency-Key"
 
-HOP_BY_HOP_NAMES = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
+# The next hop is told its own host.
+DROPPED_NAMES = HOP_BY_HOP_NAMES | {"host"}
 
 REFUSAL_STATUS = {
     RefusalReason.OVERLOADED: 503,
@@ -85,7 +72,7 @@
     named = {
         token.strip().lower() for token in headers.get("Connection", "").split(",")
     }
-    dropped = HOP_BY_HOP_NAMES | named
+    dropped = DROPPED_NAMES | named
     return tuple(
         Header(name=name, value=value)
         for name, value in headers.get_all()
--- a/foxtailway/sidecar/http_listener.py
+++ b/foxtailway/sidecar/http_listener.py
@@ -8,7 +8,7 @@
 import httptools
 
 from foxtailway.sidecar.http_message import (
-    HOP_BY_HOP_NAMES,
+    CONNECTION_HEADERS,
     Answer,
     ClientRequest,
     HeaderNames,
@@ -255,7 +255,7 @@
         self.handler = handler
         self.names = names
         self.limits = ClientLimits()
-        self.dropped_names = HOP_BY_HOP_NAMES | {
+        self.dropped_names = CONNECTION_HEADERS | {
             names.caller,
             names.expected_upstream,
         }
--- a/foxtailway/sidecar/http_message.py
+++ b/foxtailway/sidecar/http_message.py
@@ -4,8 +4,10 @@
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
+from foxtailway.common.hop_by_hop import HOP_BY_HOP_NAMES
+
 __all__ = [
-    "HOP_BY_HOP_NAMES",
+    "CONNECTION_HEADERS",
     "Answer",
     "ClientRequest",
     "HeaderNames",
@@ -14,21 +16,8 @@
     "encode_response",
 ]
 
-HOP_BY_HOP_NAMES = frozenset(
-    {
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
+# The sidecar handles names as received, in bytes.
+CONNECTION_HEADERS = frozenset(name.encode() for name in HOP_BY_HOP_NAMES)
 BODILESS_STATUSES = frozenset({204, 304})
 STATUS_LINES = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode()
--- a/foxtailway/sidecar/peer_pool.py
+++ b/foxtailway/sidecar/peer_pool.py
@@ -5,6 +5,7 @@
 from itertools import count
 from typing import Any
 
+from foxtailway.routing.deadline import PauseDetector
 from foxtailway.routing.outcome import Outcome, RefusalReason
 from foxtailway.sidecar.call import (
     CallRefusal,
@@ -73,8 +74,12 @@
         self.blocked_until = float("-inf")
         self.n_failures = 0
         self.prober: asyncio.TimerHandle | None = None
-        self.probe_due_at = float("inf")
-        self.resumed_at = float("-inf")
+        self.pauses = PauseDetector(
+            interval_s=PROBE_INTERVAL_S,
+            tolerance_s=PROBE_INTERVAL_S,
+            settle_s=0.0,
+            now=self.loop.time(),
+        )
 
     async def call(self, call: UpstreamCall) -> CallResult:
         """Send a call and wait for its result."""
@@ -199,8 +204,8 @@
     def start_prober(self) -> None:
         """Watch the streams while calls wait."""
         if self.prober is None:
-            self.probe_due_at = self.loop.time() + PROBE_INTERVAL_S
-            self.prober = self.loop.call_at(self.probe_due_at, self.probe)
+            self.pauses.observed_at = self.loop.time()
+            self.prober = self.loop.call_later(PROBE_INTERVAL_S, self.probe)
 
     def probe(self) -> None:
         """Ask silent peers for a sign of life and give up dead streams.
@@ -210,14 +215,13 @@
         """
         self.prober = None
         now = self.loop.time()
-        if now - self.probe_due_at > PROBE_INTERVAL_S:
-            self.resumed_at = now
+        self.pauses.observe(now)
         for stream, calls in list(self.streams.items()):
             if not calls:
                 continue
             self.start_prober()
             oldest = min(pending.sent_at for pending in calls.values())
-            silence_s = now - max(stream.heard_at, oldest, self.resumed_at)
+            silence_s = now - max(stream.heard_at, oldest, self.pauses.resumed_at)
             if silence_s > LOST_AFTER_S:
                 self.blocked_until = now + GOODBYE_S
                 stream.close()
--- a/foxtailway/sidecar/tests/test_peers.py
+++ b/foxtailway/sidecar/tests/test_peers.py
@@ -188,7 +188,7 @@
         repeatable = self.start_call()
         await wait_until(lambda: len(self.runner.calls) == 1)
         self.silence(SUSPECT_AFTER_S + 0.1)
-        self.link.probe_due_at -= 3 * PATIENCE_S
+        self.link.pauses.observed_at -= 3 * PATIENCE_S
         self.link.probe()
         self.assertFalse(repeatable.done())
         self.assertEqual(self.link.blocked_until, float("-inf"))
@@ -197,7 +197,7 @@
 
     def silence(self, duration_s: float) -> None:
         """Let the last sign of life lie some time back."""
-        self.link.resumed_at -= duration_s
+        self.link.pauses.resumed_at -= duration_s
         for stream, calls in self.link.streams.items():
             stream.heard_at -= duration_s
             for pending in calls.values():
--- a/foxtailway/sidecar/upstream_runner.py
+++ b/foxtailway/sidecar/upstream_runner.py
@@ -18,7 +18,7 @@
     HttpReply,
 )
 from foxtailway.sidecar.http_message import (
-    HOP_BY_HOP_NAMES,
+    CONNECTION_HEADERS,
     Answer,
     HeaderNames,
     encode_headers,
@@ -313,7 +313,7 @@
                 head=encode_headers(
                     pair
                     for pair in reply.headers
-                    if pair[0].lower() not in HOP_BY_HOP_NAMES
+                    if pair[0].lower() not in CONNECTION_HEADERS
                 ),
                 body=reply.body,
             ),
