Bound what an upstream sends and believe only its own refusals

Cause: a connection accepted a response without an identifier as that of the request in progress, and any response that says not run as a proof. An earlier refusal written once more on a kept connection thus called a running request not run. Nothing but the deadline ended headers, trailers, interim and foreign responses without end, and a body was bounded at 80 MB. Trailers were merged into the headers, so that they could replace a request's host and identifier.

Change: a response is delivered if it bears the identifier of its request and no other one, or none on a connection that saw no earlier request; a connection on which a request was refused isn't used for its identifier again. Bounds on framing bytes, headers, skipped responses, one body and all bodies, from settings; trailers are dropped.

--- a/foxtailway/platform/settings.py
+++ b/foxtailway/platform/settings.py
@@ -9,6 +9,12 @@
 __all__ = ["SettingsError", "read_settings"]
 
 ZONE_PREFIX = "zones."
+BYTES_PER_MEGABYTE = 1_000_000
+# Share of the memory that one response of the upstream may take. It is held several
+# times at once: as parts, as a whole and as a message to a peer.
+RESPONSE_MEMORY_SHARE = 1 / 32
+# Share of the memory that all responses may take that are received at a time.
+BUFFERED_MEMORY_SHARE = 1 / 8
 
 
 class SettingsError(Exception):
@@ -60,6 +66,7 @@
         for name, value in fields.items()
         if name.startswith(ZONE_PREFIX)
     }
+    memory_size = int(fields["limits.memory_mb"]) * BYTES_PER_MEGABYTE
     return SidecarSettings(
         host_id=fields["node_name"],
         zone=fields["zone"],
@@ -80,6 +87,8 @@
         retry_ratio=float(fields["bounds.retry_budget_ratio"]),
         retry_slack=float(fields["bounds.retry_budget_slack"]),
         retry_window_s=parse_seconds(fields["bounds.retry_window"]),
+        max_response_size=int(memory_size * RESPONSE_MEMORY_SHARE),
+        max_buffered_size=int(memory_size * BUFFERED_MEMORY_SHARE),
     )
 
 
--- a/foxtailway/platform/tests/test_settings.py
+++ b/foxtailway/platform/tests/test_settings.py
@@ -17,6 +17,7 @@
 limits.link_mbps=70.0
 limits.cpu_share=0.717
 limits.cpu_cores=3
+limits.memory_mb=200
 bounds.config_apply=2000
 bounds.grace=6
 bounds.retry_budget_ratio=0.2
@@ -42,6 +43,8 @@
         self.assertAlmostEqual(settings.capacity.n_cores, 2.151)
         self.assertEqual(settings.capacity.link_mbps, 70.0)
         self.assertEqual(settings.retry_slack, 56.0)
+        self.assertEqual(settings.max_response_size, 6_250_000)
+        self.assertEqual(settings.max_buffered_size, 25_000_000)
 
     def test_missing_field_is_reported(self) -> None:
         with self.assertRaisesRegex(SettingsError, "zone"):
--- a/foxtailway/sidecar/http_connection.py
+++ b/foxtailway/sidecar/http_connection.py
@@ -5,10 +5,21 @@
 
 import httptools
 
-__all__ = ["ExchangeError", "HttpConnection", "ReceivedResponse", "connect_http"]
+from foxtailway.sidecar.response_limits import (
+    DEFAULT_RESPONSE_LIMITS,
+    BufferBudget,
+    HeadMeter,
+    ResponseLimits,
+)
+
+__all__ = [
+    "ExchangeError",
+    "HttpConnection",
+    "ReceivedResponse",
+    "ResponseLimitError",
+    "connect_http",
+]
 
-# Bound of the body of a response.
-MAX_RESPONSE_BYTES = 80_000_000
 CONNECTION_HEADER = b"connection"
 KEEP_ALIVE_HEADER = b"keep-alive"
 # Share of the server's idle timeout after which a connection is not reused, so that
@@ -36,6 +47,10 @@
         self.detail = detail
 
 
+class ResponseLimitError(ExchangeError):
+    """Raised when a server sends more than `ResponseLimits` allows."""
+
+
 @dataclass(slots=True, kw_only=True)
 class ReceivedResponse:
     """Response as received from a server.
@@ -56,10 +71,12 @@
 
     def find_header(self, name: bytes) -> bytes | None:
         """Return the value of the first header called `name` (lower case), or None."""
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value
-        return None
+        values = self.find_headers(name)
+        return values[0] if values else None
+
+    def find_headers(self, name: bytes) -> list[bytes]:
+        """Return the values of all headers called `name` (lower case)."""
+        return [value for key, value in self.headers if key.lower() == name]
 
 
 class HttpConnection(asyncio.Protocol):
@@ -71,10 +88,19 @@
         ``address:port`` of the server, named in errors.
     request_id_header : bytes or None, default=None
         Lower-case name of the header in which the server echoes the identifier
-        of the request. A response with another identifier is discarded.
+        of the request. A response that may belong to another request is skipped.
+    limits : ResponseLimits, default=DEFAULT_RESPONSE_LIMITS
+        Bounds of the responses; beyond them, the exchange fails.
+    budget : BufferBudget or None, default=None
+        Bound of the bodies that all connections receive at a time; None for none.
 
     Attributes
     ----------
+    n_requests : int
+        Requests that were sent on the connection.
+    refused_ids : set of bytes
+        Identifiers of the requests that the server refused to run on the connection;
+        filled by the caller.
     is_reusable : bool
         Whether another request may be sent on the connection.
     idle_since : float
@@ -88,9 +114,23 @@
     This class never retries a request.
     """
 
-    def __init__(self, *, peer: str, request_id_header: bytes | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        peer: str,
+        request_id_header: bytes | None = None,
+        limits: ResponseLimits = DEFAULT_RESPONSE_LIMITS,
+        budget: BufferBudget | None = None,
+    ) -> None:
         self.peer = peer
         self.request_id_header = request_id_header
+        self.limits = limits
+        self.budget = budget
+        self.meter = HeadMeter()
+        self.n_requests = 0
+        self.refused_ids: set[bytes] = set()
+        self.n_skipped = 0
+        self.n_buffered = 0
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
@@ -104,9 +144,9 @@
 
     def reset_message(self) -> None:
         """Discard the state of the response that is being parsed."""
+        self.release_buffer()
         self.headers: list[tuple[bytes, bytes]] = []
-        self.chunks: list[bytes] = []
-        self.n_bytes = 0
+        self.body: bytes | bytearray = b""
         self.is_header_complete = False
         self.is_framed = False
         self.is_closing = False
@@ -125,8 +165,8 @@
         data : bytes
             Encoded request.
         expected_request_id : bytes or None, default=None
-            Identifier that the server echoes in `request_id_header`; None for no
-            check. A response without the header is accepted.
+            Identifier that the server echoes in `request_id_header`; None if the
+            request has none.
         is_head_request : bool, default=False
             Whether the method is ``HEAD``, so that the response has no body.
 
@@ -136,6 +176,9 @@
             Fails with `ExchangeError` when there is no complete response.
         """
         self.exchange = self.loop.create_future()
+        self.n_requests += 1
+        self.n_skipped = 0
+        self.meter.reset()
         self.expected_request_id = expected_request_id
         self.is_head_request = is_head_request
         self.transport.write(data)
@@ -156,18 +199,28 @@
         if self.exchange is None:
             self.close()
             return
+        self.meter.n_received += len(data)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except httptools.HttpParserCallbackError as error:
+            self.fail_with(find_cause(error, self.peer))
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.fail("decode", str(error))
+        else:
+            if self.exchange is not None and self.meter.is_exceeded(
+                self.limits.max_head_size
+            ):
+                self.fail_with(self.make_limit_error("header section"))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the exchange; a body that is delimited by the close is then complete."""
         self.is_reusable = False
         is_delimited_by_close = self.is_header_complete and not self.is_framed
         if exc is None and is_delimited_by_close and self.exchange is not None:
-            self.complete()
-            return
+            try:
+                self.complete()
+            except ResponseLimitError as error:
+                self.fail_with(error)
         self.fail("receive", "connection lost" if exc is None else str(exc))
 
     def on_message_begin(self) -> None:
@@ -177,7 +230,14 @@
         self.reset_message()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append one header and evaluate framing and keep-alive (parser callback)."""
+        """Append one header and evaluate framing and keep-alive (parser callback).
+
+        Trailers are dropped: a signature or a refusal is part of the header section.
+        """
+        if self.is_header_complete:
+            return
+        if len(self.headers) >= self.limits.max_n_headers:
+            raise self.make_limit_error("number of headers")
         self.headers.append((name, value))
         lower_name = name.lower()
         if lower_name in (b"content-length", b"transfer-encoding"):
@@ -199,29 +259,47 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body after a size check (parser callback)."""
-        self.n_bytes += len(body)
-        if self.n_bytes > MAX_RESPONSE_BYTES:
-            self.fail("receive", "response too large")
+        n_bytes = len(body)
+        self.meter.n_body += n_bytes
+        if self.n_buffered + n_bytes > self.limits.max_body_size:
+            raise self.make_limit_error("body")
+        if self.budget is not None and not self.budget.try_acquire(n_bytes):
+            raise self.make_limit_error("bodies of all running responses")
+        self.n_buffered += n_bytes
+        if not self.body:
+            self.body = body
             return
-        self.chunks.append(body)
+        if isinstance(self.body, bytes):
+            self.body = bytearray(self.body)
+        self.body += body
 
     def on_message_complete(self) -> None:
         """Complete the exchange unless the response is informational (1xx)."""
         if self.parser.get_status_code() >= 200:
             self.complete()
+        else:
+            self.count_skipped("interim responses")
+
+    def count_skipped(self, kind: str) -> None:
+        """Count a skipped response; raise `ResponseLimitError` beyond the limit."""
+        self.n_skipped += 1
+        if self.n_skipped > self.limits.max_n_skipped:
+            raise self.make_limit_error(kind)
 
     def complete(self) -> None:
-        """Deliver the response unless it belongs to another request."""
+        """Deliver the response unless it may belong to another request."""
         if self.exchange is None or self.exchange.done():
             self.is_reusable = False
             return
         response = ReceivedResponse(
             status=self.parser.get_status_code(),
             headers=self.headers,
-            body=self.chunks[0] if len(self.chunks) == 1 else b"".join(self.chunks),
+            body=bytes(self.body),
         )
-        if self.has_other_request_id(response):
+        self.release_buffer()
+        if not self.is_own_response(response):
             self.is_reusable = False
+            self.count_skipped("responses to other requests")
             return
         if self.is_closing or not self.is_framed:
             self.is_reusable = False
@@ -232,22 +310,44 @@
         self.idle_since = self.loop.time()
         exchange.set_result(response)
 
-    def has_other_request_id(self, response: ReceivedResponse) -> bool:
-        """Return whether a response carries another identifier than expected."""
-        if self.request_id_header is None or self.expected_request_id is None:
-            return False
-        received_id = response.find_header(self.request_id_header)
-        return received_id is not None and received_id != self.expected_request_id
+    def is_own_response(self, response: ReceivedResponse) -> bool:
+        """Return whether a response can belong only to the request in progress.
+
+        That is so if it bears the identifier of this request and no other one, or
+        if it bears none and no earlier request was sent on the connection, so that
+        it can't be the copy of an earlier response.
+        """
+        if self.request_id_header is None:
+            return True
+        received_ids = response.find_headers(self.request_id_header)
+        if not received_ids:
+            return self.n_requests == 1
+        return all(item == self.expected_request_id for item in received_ids)
+
+    def release_buffer(self) -> None:
+        """Give the bytes of the body back to the budget."""
+        if self.budget is not None:
+            self.budget.release(self.n_buffered)
+        self.n_buffered = 0
+
+    def make_limit_error(self, kind: str) -> ResponseLimitError:
+        """Return the error for a response that exceeds a limit."""
+        return ResponseLimitError(
+            step="receive", peer=self.peer, detail=f"limit exceeded: {kind}"
+        )
 
     def fail(self, step: str, detail: str) -> None:
         """Fail the exchange with `ExchangeError` and close the connection."""
+        self.fail_with(ExchangeError(step=step, peer=self.peer, detail=detail))
+
+    def fail_with(self, error: ExchangeError) -> None:
+        """Fail the exchange with an error and close the connection."""
         exchange = self.exchange
         self.exchange = None
         self.close()
+        self.reset_message()
         if exchange is not None and not exchange.done():
-            exchange.set_exception(
-                ExchangeError(step=step, peer=self.peer, detail=detail)
-            )
+            exchange.set_exception(error)
 
     def can_reuse(self, now: float, max_idle_s: float) -> bool:
         """Return whether the connection may be reused after its idle time."""
@@ -271,12 +371,22 @@
     return default_s
 
 
+def find_cause(error: Exception, peer: str) -> ExchangeError:
+    """Return the error that was raised in a callback of the parser."""
+    cause = error.__cause__ or error.__context__
+    if isinstance(cause, ExchangeError):
+        return cause
+    return ExchangeError(step="decode", peer=peer, detail=repr(cause or error))
+
+
 async def connect_http(
     *,
     address: str,
     port: int,
     timeout_s: float,
     request_id_header: bytes | None = None,
+    limits: ResponseLimits = DEFAULT_RESPONSE_LIMITS,
+    budget: BufferBudget | None = None,
 ) -> HttpConnection:
     """Return a new connection, or raise `ExchangeError` of step ``connect``."""
     peer = f"{address}:{port}"
@@ -284,7 +394,12 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                lambda: HttpConnection(peer=peer, request_id_header=request_id_header),
+                lambda: HttpConnection(
+                    peer=peer,
+                    request_id_header=request_id_header,
+                    limits=limits,
+                    budget=budget,
+                ),
                 address,
                 port,
             )
--- a/foxtailway/sidecar/http_listener.py
+++ b/foxtailway/sidecar/http_listener.py
@@ -15,6 +15,7 @@
     encode_headers,
     encode_response,
 )
+from foxtailway.sidecar.response_limits import HeadMeter
 from foxtailway.traffic.configuration import ClientLimits
 
 __all__ = ["HttpListener", "RequestHandler"]
@@ -26,6 +27,8 @@
 # Margin added to the idle timeout, so that a client which observes the timeout does
 # not send a request on a connection that is being closed.
 IDLE_MARGIN_S = 1.0
+# Bytes of chunk framing and trailers allowed beside the header section of a request.
+MAX_FRAMING_BYTES = 65_536
 # Connections that the operating system queues before they are accepted.
 LISTEN_BACKLOG = 1024
 RESPONSE_BAD_REQUEST = Response(status=400)
@@ -71,6 +74,7 @@
         self.response_task: asyncio.Task | None = None
         self.is_ended = False
         self.n_header_bytes = 0
+        self.meter = HeadMeter()
         self.n_requests_read = 0
         self.idle_since = self.loop.time()
         self.receiving_since: float | None = None
@@ -108,6 +112,7 @@
         if self.receiving_since is None:
             self.receiving_since = self.loop.time()
         n_requests_read = self.n_requests_read
+        self.meter.n_received += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
@@ -116,6 +121,10 @@
             self.n_header_bytes += len(data)
             if self.n_header_bytes > self.listener.limits.max_header_size:
                 self.reject(RESPONSE_HEADERS_TOO_LARGE)
+        elif self.meter.is_exceeded(
+            self.listener.limits.max_header_size + MAX_FRAMING_BYTES
+        ):
+            self.reject(RESPONSE_HEADERS_TOO_LARGE)
 
     def on_message_begin(self) -> None:
         """Prepare for the next request (parser callback)."""
@@ -126,8 +135,9 @@
         self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append one header (parser callback)."""
-        self.headers.append((name, value))
+        """Append one header; trailers are dropped (parser callback)."""
+        if not self.is_header_complete:
+            self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Check the size of the header section (parser callback)."""
@@ -139,6 +149,7 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body after a size check (parser callback)."""
         self.n_body_bytes += len(body)
+        self.meter.n_body += len(body)
         if self.n_body_bytes > self.listener.limits.max_body_size:
             self.reject(RESPONSE_BODY_TOO_LARGE)
         elif not self.is_ended:
@@ -150,6 +161,7 @@
             return
         self.receiving_since = None
         self.n_header_bytes = 0
+        self.meter.reset()
         self.n_requests_read += 1
         request = self.build_request()
         self.queue.append((request, self.parser.should_keep_alive()))
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -19,6 +19,7 @@
 from foxtailway.sidecar.peer_pool import PeerPool
 from foxtailway.sidecar.peer_stream import make_peer_codec
 from foxtailway.sidecar.readiness import ReadinessHandler
+from foxtailway.sidecar.response_limits import BufferBudget, ResponseLimits
 from foxtailway.sidecar.settings import Endpoint, SidecarSettings
 from foxtailway.sidecar.update_exchange import UpdateExchange
 from foxtailway.sidecar.upstream_pool import UpstreamPool
@@ -127,6 +128,8 @@
                 address=settings.upstream.address,
                 port=settings.upstream.port,
                 request_id_header=names.request_id,
+                limits=ResponseLimits(max_body_size=settings.max_response_size),
+                budget=BufferBudget(max_size=settings.max_buffered_size),
             ),
             membership=self.membership,
             guard=self.guard,
@@ -244,6 +247,7 @@
             "log_lines_dropped": self.log.n_dropped,
             "peers": len(self.peers.links),
             "ready": int(self.is_ready()),
+            "response_limit_errors": self.runner.n_limit_errors,
             "slots": self.runner.queue.n_slots,
             "slots_busy": self.runner.queue.n_running,
             "slot_queue": len(self.runner.queue.waiting),
@@ -256,6 +260,10 @@
         self.settings = settings
         self.roles.capacity = settings.capacity
         self.roles.timings = ReaderTimings(apply_s=settings.apply_s)
+        self.runner.pool.apply_limits(
+            max_body_size=settings.max_response_size,
+            max_buffered_size=settings.max_buffered_size,
+        )
         self.membership_changed()
         self.selector.zone = settings.zone
         self.selector.zone_regions = settings.zone_regions
--- /dev/null
+++ b/foxtailway/sidecar/response_limits.py
@@ -0,0 +1,89 @@
+"""Bounds on what a server may send in one HTTP exchange."""
+
+from dataclasses import dataclass
+
+__all__ = ["DEFAULT_RESPONSE_LIMITS", "BufferBudget", "HeadMeter", "ResponseLimits"]
+
+# Bytes of framing allowed for each byte of body beyond the bound of the header section.
+# Chunks of fewer than six bytes exceed it; each costs as much time as a large one.
+MAX_FRAMING_RATIO = 1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ResponseLimits:
+    """Bounds of the responses that one connection accepts.
+
+    Parameters
+    ----------
+    max_head_size : int, default=65536
+        Largest header section, and largest sum of all other bytes that belong to no
+        body, such as interim responses, trailers and chunk extensions, in bytes.
+    max_n_headers : int, default=256
+        Largest number of headers and trailers. Each takes far more memory than its
+        bytes on the wire.
+    max_n_skipped : int, default=16
+        Largest number of interim (1xx) responses, and of responses to other
+        requests, that are skipped in one exchange.
+    max_body_size : int, default=4194304
+        Largest body of one response, in bytes.
+    """
+
+    max_head_size: int = 65_536
+    max_n_headers: int = 256
+    max_n_skipped: int = 16
+    max_body_size: int = 4_194_304
+
+
+DEFAULT_RESPONSE_LIMITS = ResponseLimits()
+
+
+class HeadMeter:
+    """Count the bytes of HTTP messages that belong to no body.
+
+    A parser passes on a header only when it is complete, so that an endless one can
+    be noticed by the received bytes alone.
+    """
+
+    def __init__(self) -> None:
+        self.n_received = 0
+        self.n_body = 0
+
+    def reset(self) -> None:
+        """Start to count for the next message."""
+        self.n_received = 0
+        self.n_body = 0
+
+    def is_exceeded(self, max_head_size: int) -> bool:
+        """Return whether more bytes than allowed came beside those of bodies."""
+        n_framing = self.n_received - self.n_body
+        return n_framing > max_head_size + MAX_FRAMING_RATIO * self.n_body
+
+
+class BufferBudget:
+    """Bytes that the incomplete responses of several connections may take together.
+
+    Parameters
+    ----------
+    max_size : int
+        Largest sum of the bodies, in bytes.
+
+    Attributes
+    ----------
+    size : int
+        Bytes that are taken.
+    """
+
+    def __init__(self, *, max_size: int) -> None:
+        self.max_size = max_size
+        self.size = 0
+
+    def try_acquire(self, n_bytes: int) -> bool:
+        """Take some bytes; return False if too many are taken already."""
+        if self.size + n_bytes > self.max_size:
+            return False
+        self.size += n_bytes
+        return True
+
+    def release(self, n_bytes: int) -> None:
+        """Give bytes back."""
+        self.size -= n_bytes
--- a/foxtailway/sidecar/settings.py
+++ b/foxtailway/sidecar/settings.py
@@ -43,6 +43,11 @@
         Retry budget of all sidecars together for each service: ratio of retries
         to requests, retries allowed in addition to it, and length of the sliding
         window in seconds.
+    max_response_size : int
+        Largest body of one response of the upstream, in bytes.
+    max_buffered_size : int
+        Largest sum of the bodies of all responses that are received at a time, in
+        bytes.
     """
 
     host_id: str
@@ -60,3 +65,5 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    max_response_size: int
+    max_buffered_size: int
--- a/foxtailway/sidecar/tests/test_end_to_end.py
+++ b/foxtailway/sidecar/tests/test_end_to_end.py
@@ -46,6 +46,8 @@
         retry_ratio=0.2,
         retry_slack=50.0,
         retry_window_s=10.0,
+        max_response_size=4_000_000,
+        max_buffered_size=16_000_000,
     )
 
 
--- a/foxtailway/sidecar/tests/test_http_listener.py
+++ b/foxtailway/sidecar/tests/test_http_listener.py
@@ -93,6 +93,33 @@
         head, _ = await self.read_response()
         self.assertIn(b" 431 ", head)
 
+    async def test_trailers_without_end_are_rejected(self) -> None:
+        for block in (b"a: b\r\n", b"a"):
+            with self.subTest(block):
+                _, port = self.listener.server.sockets[0].getsockname()
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                self.addCleanup(writer.close)
+                writer.write(
+                    b"POST /x HTTP/1.1\r\nHost: a\r\n"
+                    b"Transfer-Encoding: chunked\r\n\r\n0\r\n"
+                )
+                with self.assertRaises((ConnectionError, asyncio.IncompleteReadError)):
+                    for _ in range(10_000):
+                        writer.write(block * 10_000)
+                        await writer.drain()
+                    await reader.readexactly(10_000)
+                self.assertEqual(self.handler.requests, [])
+
+    async def test_trailers_do_not_replace_headers(self) -> None:
+        self.writer.write(
+            b"POST /x HTTP/1.1\r\nHost: a\r\nX-Request-Id: r-1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\nHost: b\r\n"
+            b"X-Request-Id: r-2\r\n\r\n"
+        )
+        await self.read_response()
+        request = self.handler.requests[0]
+        self.assertEqual((request.host, request.request_id), ("a", "r-1"))
+
     async def test_large_body_is_rejected(self) -> None:
         self.listener.limits = ClientLimits(max_body_size=3)
         self.writer.write(REQUEST)
--- a/foxtailway/sidecar/upstream_pool.py
+++ b/foxtailway/sidecar/upstream_pool.py
@@ -1,8 +1,14 @@
 """Pool of persistent connections to the upstream on the same host."""
 
 import asyncio
+from dataclasses import replace
 
 from foxtailway.sidecar.http_connection import HttpConnection, connect_http
+from foxtailway.sidecar.response_limits import (
+    DEFAULT_RESPONSE_LIMITS,
+    BufferBudget,
+    ResponseLimits,
+)
 
 __all__ = ["UpstreamPool"]
 
@@ -14,6 +20,9 @@
 MAX_IDLE_NOT_IDEMPOTENT_S = 1.0
 # Idle time after which a connection is not reused for any request.
 MAX_IDLE_S = 60.0
+# Refused requests after which a connection is not reused, since their identifiers are
+# kept as long as it is open.
+MAX_REFUSED_IDS = 256
 
 
 class UpstreamPool:
@@ -27,21 +36,41 @@
         TCP port of the upstream.
     request_id_header : bytes
         Header in which the upstream echoes the identifier of the request.
+    limits : ResponseLimits, default=DEFAULT_RESPONSE_LIMITS
+        Bounds of the responses.
+    budget : BufferBudget or None, default=None
+        Bound of the bodies that are received at a time; None for none.
     """
 
-    def __init__(self, *, address: str, port: int, request_id_header: bytes) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        port: int,
+        request_id_header: bytes,
+        limits: ResponseLimits = DEFAULT_RESPONSE_LIMITS,
+        budget: BufferBudget | None = None,
+    ) -> None:
+        self.limits = limits
+        self.budget = budget
         self.address = address
         self.port = port
         self.request_id_header = request_id_header
         self.idle: list[HttpConnection] = []
 
-    async def acquire(self, *, is_idempotent: bool) -> HttpConnection:
+    async def acquire(
+        self, *, is_idempotent: bool, request_id: bytes
+    ) -> HttpConnection:
         """Return an idle or a new connection.
 
         Parameters
         ----------
         is_idempotent : bool
             Whether the request to be sent is idempotent.
+        request_id : bytes
+            Identifier of the request. A connection on which a request with it was
+            refused is not used, since a copy of that refusal could not be told from
+            the response; nor is any used connection for a request without one.
 
         Raises
         ------
@@ -52,7 +81,8 @@
         limit_s = MAX_IDLE_S if is_idempotent else MAX_IDLE_NOT_IDEMPOTENT_S
         while self.idle:
             connection = self.idle.pop()
-            if connection.can_reuse(now, limit_s):
+            is_distinguishable = request_id and request_id not in connection.refused_ids
+            if is_distinguishable and connection.can_reuse(now, limit_s):
                 return connection
             connection.close()
         return await self.connect()
@@ -64,15 +94,27 @@
             port=self.port,
             timeout_s=CONNECT_TIMEOUT_S,
             request_id_header=self.request_id_header,
+            limits=self.limits,
+            budget=self.budget,
         )
 
     def release(self, connection: HttpConnection) -> None:
         """Return a connection to the pool; close it if it cannot be reused."""
-        if connection.is_reusable and connection.exchange is None:
+        if (
+            connection.is_reusable
+            and connection.exchange is None
+            and len(connection.refused_ids) < MAX_REFUSED_IDS
+        ):
             self.idle.append(connection)
         else:
             connection.close()
 
+    def apply_limits(self, *, max_body_size: int, max_buffered_size: int) -> None:
+        """Apply changed limits; a body limit holds for new connections only."""
+        self.limits = replace(self.limits, max_body_size=max_body_size)
+        if self.budget is not None:
+            self.budget.max_size = max_buffered_size
+
     def close(self) -> None:
         """Close the idle connections; idempotent."""
         for connection in self.idle:
--- a/foxtailway/sidecar/upstream_runner.py
+++ b/foxtailway/sidecar/upstream_runner.py
@@ -16,6 +16,7 @@
     ExchangeError,
     HttpConnection,
     ReceivedResponse,
+    ResponseLimitError,
 )
 from foxtailway.sidecar.http_message import (
     CONNECTION_HEADERS,
@@ -68,6 +69,11 @@
         upstream that crashed while running it.
     log : EventLog
         Event log.
+
+    Attributes
+    ----------
+    n_limit_errors : int
+        Responses of the upstream that exceeded a limit.
     """
 
     def __init__(
@@ -93,6 +99,7 @@
         self.waiters: dict[QueuedRequest, asyncio.Future[bool]] = {}
         self.queue_timer: asyncio.TimerHandle | None = None
         self.is_stopping = False
+        self.n_limit_errors = 0
 
     def report_load(self) -> LoadReport:
         """Return the current load of the upstream."""
@@ -207,7 +214,10 @@
             if refusal_reason is not None:
                 return self.make_refusal(refusal_reason)
             try:
-                connection = await self.pool.acquire(is_idempotent=call.is_idempotent)
+                connection = await self.pool.acquire(
+                    is_idempotent=call.is_idempotent,
+                    request_id=call.request_id.encode("latin-1"),
+                )
             except ExchangeError as error:
                 self.log.write("upstream_unreachable", call.request_id, error=error)
                 return self.make_refusal(RefusalReason.NOT_READY)
@@ -243,8 +253,9 @@
 
         def end_exchange(done: "asyncio.Future[ReceivedResponse]") -> None:
             if not done.cancelled() and done.exception() is None:
-                received = done.result()
-                if received.find_header(names.not_run) is None:
+                if self.is_refusal(done.result()):
+                    connection.refused_ids.add(call.request_id.encode("latin-1"))
+                else:
                     run_time_s = self.loop.time() - started_at
                     self.queue.record_run_time(call.route, run_time_s)
             self.pool.release(connection)
@@ -276,6 +287,8 @@
                 connection.fail("receive", "the caller cancelled the request")
             raise
         except ExchangeError as error:
+            if isinstance(error, ResponseLimitError):
+                self.n_limit_errors += 1
             self.log.write("upstream_lost", call.request_id, error=error)
             self.start_crash_check(call)
             return self.make_refusal(RefusalReason.LOST, is_offered=True)
@@ -299,6 +312,16 @@
         else:
             self.pool.release(connection)
 
+    def is_refusal(self, received: ReceivedResponse) -> bool:
+        """Return whether a response says that its request was not run.
+
+        The connection has made sure that it is the response to this request.
+        """
+        return (
+            received.status == STATUS_MISDIRECTED_REQUEST
+            or received.find_header(self.names.not_run) is not None
+        )
+
     def interpret_response(
         self, call: UpstreamCall, received: ReceivedResponse, run_time_s: float
     ) -> CallResult:
@@ -318,7 +341,7 @@
                 is_offered=True,
                 load=self.report_load(),
             )
-        if received.find_header(self.names.not_run) is not None:
+        if self.is_refusal(received):
             return CallRefusal(
                 outcome=Outcome.NOT_RUN,
                 reason=RefusalReason.OVERLOADED,
