Report the deletion of the last document after an outage

Cause: after a failure the base file was dropped from the set, so that it is read again. Where it was the only document and is deleted before the next listing, the empty listing equals the set without it, and the last bundle stayed in force.

Change: the base file stays in the set under a revision that no store has, so that any listing differs.

--- a/foxtailway/source/bundle_collector.py
+++ b/foxtailway/source/bundle_collector.py
@@ -36,6 +36,8 @@
 MAX_LISTINGS = 5
 # Pause after a watch that ended without a change of the collected kind.
 PAUSE_S = 0.2
+# Revision of a document that has to be read again; the store has no such revision.
+UNKNOWN_REVISION = -1
 # Keys of the configuration have no common prefix.
 PREFIXES = {BundleKind.CONFIG: "", BundleKind.HOSTS: HOSTS_PREFIX}
 
@@ -257,7 +259,10 @@
         """Make the next collection list all keys and read the base file again."""
         document_set = self.document_sets[kind]
         documents = dict(document_set.documents)
-        documents.pop(BASE_KEY, None)
+        base = documents.get(BASE_KEY)
+        if base is not None:
+            # It stays in the set, so that a listing without it is a change.
+            documents[BASE_KEY] = replace(base, revision=UNKNOWN_REVISION)
         self.document_sets[kind] = replace(document_set, documents=documents)
         self.kinds_to_relist.add(kind)
 
--- a/foxtailway/source/tests/test_bundle_collector.py
+++ b/foxtailway/source/tests/test_bundle_collector.py
@@ -167,6 +167,18 @@
         self.store.write("overlay/a", None)
         self.assertEqual(contents(self.collect().ok), {"base": b"1:x"})
 
+    def test_deletion_of_the_last_document_during_an_outage_is_found(self) -> None:
+        self.store.write("base", b"1:x")
+        self.collect()
+        self.reader.script = [None, None]
+        self.collect()
+        self.collect()
+        self.store.write("base", None)
+        bundle = self.collect().ok
+        self.assertEqual(contents(bundle), {})
+        self.assertEqual(order_key(bundle.version), (1, 2))
+        self.assertIsNone(self.collect().ok)
+
     def test_failed_read_changes_nothing(self) -> None:
         self.store.write("base", b"1:x")
         self.collect()
