Answer 503, not 404, while a newer configuration may exist

Cause: a sidecar that had not heard of the store or a reader for longer than a version may take answered 404 by what it had. Clients do not repeat after a 404; 503 with Retry-After is true and lets them come back.

Change: without a matching route, a state whose last confirmation is older than 0.8 of the time to apply is not ready. A test of the dispatcher and one of the node failed before.

--- a/foxtailway/sidecar/dispatcher.py
+++ b/foxtailway/sidecar/dispatcher.py
@@ -1,6 +1,7 @@
 """Routing of client requests and mapping of results to responses."""
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 from foxtailway.routing.outcome import Outcome, RefusalReason
@@ -52,6 +53,8 @@
         Retry budget of all sidecars together for each service: ratio of retries
         to requests, retries allowed in addition to it, and length of the sliding
         window in seconds.
+    is_up_to_date : callable
+        Tells whether the configuration was recently known to be the newest one.
     metrics : SidecarMetrics
         Counts responses, refusals and further attempts.
     log : EventLog
@@ -76,10 +79,12 @@
         retry_ratio: float,
         retry_slack: float,
         retry_window_s: float,
+        is_up_to_date: Callable[[], bool],
         metrics: SidecarMetrics,
         log: EventLog,
         random_source: Random,
     ) -> None:
+        self.is_up_to_date = is_up_to_date
         self.metrics = metrics
         self.names = names
         self.service = service
@@ -155,7 +160,12 @@
             return make_refusal(RefusalReason.MALFORMED)
         route = self.route_index.find(request.host, request.target)
         if route is None:
-            return make_refusal(RefusalReason.NO_ROUTE)
+            # A newer configuration may have a route, and clients do not repeat a
+            # request that got a 404.
+            reason = RefusalReason.NO_ROUTE
+            if not self.is_up_to_date():
+                reason = RefusalReason.NOT_READY
+            return make_refusal(reason)
         if self.guard.is_quarantined(request.method, request.target, request.body):
             return make_refusal(RefusalReason.QUARANTINED)
         now = self.loop.time()
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -39,6 +39,9 @@
 TICK_INTERVAL_S = 0.1
 # Interval at which a stopping node checks whether requests are in flight.
 IDLE_POLL_INTERVAL_S = 0.02
+# Age of the last confirmation at which this node may lack a change that has to be in
+# force, as a share of the time to apply. The rest covers the transit of an update.
+UP_TO_DATE_SHARE = 0.8
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -162,6 +165,7 @@
             retry_ratio=settings.retry_ratio,
             retry_slack=settings.retry_slack,
             retry_window_s=settings.retry_window_s,
+            is_up_to_date=self.is_up_to_date,
             metrics=self.metrics,
             log=log,
             random_source=random_source,
@@ -217,6 +221,11 @@
         """Return whether new requests are accepted."""
         return not self.is_stopping and self.dispatcher.configuration is not None
 
+    def is_up_to_date(self) -> bool:
+        """Return whether all changes that must be in force now are known."""
+        age_s = self.loop.time() - self.exchange.up_to_date_at
+        return age_s < UP_TO_DATE_SHARE * self.settings.apply_s
+
     def apply(self, configuration: TrafficConfiguration) -> None:
         """Apply a configuration to new requests."""
         self.dispatcher.apply(configuration)
--- a/foxtailway/sidecar/tests/test_dispatcher.py
+++ b/foxtailway/sidecar/tests/test_dispatcher.py
@@ -49,6 +49,7 @@
 
 class RequestDispatcherTest(IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
+        self.is_up_to_date = True
         self.peers = ScriptedPeers()
         self.membership = Membership()
         self.guard = CrashGuard(host_id="host-1", clock=ManualClock())
@@ -76,6 +77,7 @@
             retry_ratio=0.2,
             retry_slack=56.0,
             retry_window_s=10.0,
+            is_up_to_date=lambda: self.is_up_to_date,
             metrics=SidecarMetrics(read_gauges=dict),
             log=make_log(),
             random_source=Random(1),
@@ -101,6 +103,14 @@
         self.assertEqual(response.status, 503)
         self.assertIn(b"Retry-After", response.head)
 
+    async def test_unknown_route_is_unavailable_while_a_newer_version_may_exist(
+        self,
+    ) -> None:
+        self.is_up_to_date = False
+        response = await self.dispatcher.handle(make_client_request(host="b.example"))
+        self.assertEqual(response.status, 503)
+        self.assertIn(b"Retry-After", response.head)
+
     async def test_unknown_route_is_not_found(self) -> None:
         self.configure()
         self.assertEqual((await self.handle(host="b.example")).status, 404)
--- a/foxtailway/sidecar/tests/test_end_to_end.py
+++ b/foxtailway/sidecar/tests/test_end_to_end.py
@@ -112,6 +112,18 @@
             self.assertEqual(await reader.readexactly(5), b"whole")
             self.assertIn("x-caller: desk", upstream.requests[0])
 
+    async def test_configuration_without_a_recent_confirmation_may_be_outdated(
+        self,
+    ) -> None:
+        async with ScriptedUpstream() as upstream:
+            await self.start(upstream)
+            node = self.entry_node
+            apply_s = node.settings.apply_s
+            node.exchange.up_to_date_at = node.loop.time()
+            self.assertTrue(node.is_up_to_date())
+            node.exchange.up_to_date_at -= apply_s
+            self.assertFalse(node.is_up_to_date())
+
     async def test_stop_of_the_entry_node_lets_requests_finish(self) -> None:
         await self.check_stop_of(lambda: self.entry_node)
 
