--- a/foxtailway/platform/store.py
+++ b/foxtailway/platform/store.py
@@ -13,6 +13,7 @@
 from foxtailway.sidecar.http_connection import (
     ExchangeError,
     HttpConnection,
+    ReceivedResponse,
     connect_http,
 )
 from foxtailway.sidecar.peer_stream import set_keepalive
@@ -21,9 +22,13 @@
 __all__ = ["HistoryLostError", "StoreClient", "StoreError", "StoreItem", "StorePage"]
 
 CONNECT_TIMEOUT_S = 1.0
+# Time without any byte of the response after which a call fails.
 READ_TIMEOUT_S = 2.0
-# Time that the response to a watch may take in addition to its wait.
+# The same for a watch, in addition to its wait.
 WATCH_MARGIN_S = 1.2
+# Time that a response may take while its bytes arrive. On a narrow link, a large value
+# takes seconds, and a call that is repeated in the middle would never end.
+TRANSFER_TIMEOUT_S = 10.0
 CALL_ERRORS = (
     ExchangeError,
     TimeoutError,
@@ -149,12 +154,23 @@
     async def call(
         self, name: str, query: dict[str, str], timeout_s: float
     ) -> StorePage:
-        """Make one call and return the items of its response, or raise `StoreError`."""
+        """Make one call and return the items of its response, or raise `StoreError`.
+
+        Parameters
+        ----------
+        name : str
+            Name of the call.
+        query : dict of str to str
+            Its parameters.
+        timeout_s : float
+            Time without a byte of the response after which the call fails, in
+            seconds.
+        """
         self.n_calls += 1
         try:
-            async with asyncio.timeout(timeout_s):
-                connection = await self.connect()
-                response = await connection.request(self.encode_request(name, query))
+            connection = await self.connect()
+            exchange = connection.request(self.encode_request(name, query))
+            response = await wait_for_transfer(connection, exchange, timeout_s)
             if response.status == 200:
                 return decode_page(msgpack.unpackb(response.body))
         except CALL_ERRORS as error:
@@ -191,6 +207,46 @@
             self.connection = None
 
 
+async def wait_for_transfer(
+    connection: HttpConnection,
+    exchange: "asyncio.Future[ReceivedResponse]",
+    timeout_s: float,
+) -> ReceivedResponse:
+    """Return the response of an exchange as long as its bytes keep arriving.
+
+    Parameters
+    ----------
+    connection : HttpConnection
+        Connection of the exchange.
+    exchange : asyncio.Future of ReceivedResponse
+        Exchange in progress.
+    timeout_s : float
+        Time without a byte after which the transfer fails, in seconds.
+
+    Raises
+    ------
+    TimeoutError
+        If no byte arrives in time, or the whole response takes longer than
+        `TRANSFER_TIMEOUT_S` in addition.
+    ExchangeError
+        If the exchange fails.
+    """
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    ends_at = started_at + timeout_s + TRANSFER_TIMEOUT_S
+    while not exchange.done():
+        silent_since = max(started_at, connection.received_at)
+        timeout_at = min(ends_at, silent_since + timeout_s)
+        if loop.time() >= timeout_at:
+            raise TimeoutError
+        try:
+            await asyncio.wait((exchange,), timeout=timeout_at - loop.time())
+        except asyncio.CancelledError:
+            exchange.cancel()
+            raise
+    return exchange.result()
+
+
 def decode_page(body: dict[str, Any]) -> StorePage:
     """Return the page in the body of a range or watch response."""
     items = body["items"] if "items" in body else body["events"]
--- a/foxtailway/platform/store_watcher.py
+++ b/foxtailway/platform/store_watcher.py
@@ -40,6 +40,10 @@
 # Length of an outage after which the keys are listed again. The changes since then may
 # contain many versions of the configuration, of which only the last is needed.
 RELIST_OUTAGE_S = 1.0
+# Age of the known state up to which a watch has a short backlog in any case.
+MAX_WATCH_AGE_S = 0.8
+# Time in which several versions of the configuration make a further one likely.
+STORM_PERIOD_S = 5.0
 # Pause after the first failed call; it doubles with each further one.
 FIRST_BACKOFF_S = 0.15
 # Longest pause of a reader before jitter. It is shorter than that of other nodes, which
@@ -87,7 +91,7 @@
                 if self.node.roles.is_following(self.loop.time()):
                     self.follow_reader()
                     await asyncio.sleep(FOLLOWER_CHECK_INTERVAL_S)
-                elif self.is_listing_needed:
+                elif self.is_listing_needed or self.is_backlog_likely():
                     await self.list_all()
                 else:
                     await self.watch_once()
@@ -140,6 +144,18 @@
             self.node.membership.record_registry_failure(self.loop.time())
             self.end_outage()
 
+    def is_backlog_likely(self) -> bool:
+        """Return whether the changes that this node lacks probably exceed a listing.
+
+        A watch returns every version of the configuration in full, a listing only the
+        last one. A node that takes over while versions follow each other quickly would
+        need seconds for the backlog on a slow link.
+        """
+        now = self.loop.time()
+        if now - self.exchange.up_to_date_at <= MAX_WATCH_AGE_S:
+            return False
+        return self.exchange.count_versions_since(now - STORM_PERIOD_S) > 1
+
     async def list_all(self) -> None:
         """List all keys and apply them.
 
@@ -195,8 +211,8 @@
         now = self.loop.time()
         confirm_interval_s = self.node.roles.timings.confirm_interval_s
         if self.node.roles.is_reader(now):
-            is_late = now - self.exchange.up_to_date_at > confirm_interval_s
-            return MIN_WATCH_WAIT_S if is_late else confirm_interval_s
+            age_s = now - self.exchange.up_to_date_at
+            return max(MIN_WATCH_WAIT_S, confirm_interval_s - age_s)
         return (
             NON_READER_WATCH_WAIT_S
             if self.outage_started_at is None
--- a/foxtailway/sidecar/http_connection.py
+++ b/foxtailway/sidecar/http_connection.py
@@ -103,6 +103,9 @@
         filled by the caller.
     is_reusable : bool
         Whether another request may be sent on the connection.
+    received_at : float
+        Monotonic time at which bytes were last received, in seconds; minus infinity
+        before the first.
     idle_since : float
         Monotonic time at which the last exchange ended, in seconds.
     idle_timeout_s : float
@@ -138,6 +141,7 @@
         self.expected_request_id: bytes | None = None
         self.is_head_request = False
         self.is_reusable = True
+        self.received_at = float("-inf")
         self.idle_since = self.loop.time()
         self.idle_timeout_s = 4.0
         self.reset_message()
@@ -199,6 +203,7 @@
         if self.exchange is None:
             self.close()
             return
+        self.received_at = self.loop.time()
         self.meter.n_received += len(data)
         try:
             self.parser.feed_data(data)
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -209,6 +209,8 @@
         self.membership.remove_expired(now)
         if self.roles.is_reader(now) != self.is_reader:
             self.is_reader = not self.is_reader
+            # The readers of other regions need to know a new reader at once.
+            self.announced_at = float("-inf")
             self.log.write(
                 "reader_changed", is_reader=self.is_reader, rank=self.roles.rank
             )
@@ -286,10 +288,18 @@
             retry_window_s=settings.retry_window_s,
         )
 
-    def handle_listing_request(self, address: str) -> None:
-        """Send a listing to a sidecar that requested one, unless stopping."""
+    def handle_listing_request(self, address: str, version: int) -> None:
+        """Send a listing to a sidecar that requested one, unless stopping.
+
+        Parameters
+        ----------
+        address : str
+            Address of the sidecar.
+        version : int
+            Version of its configuration.
+        """
         if not self.is_stopping:
-            self.exchange.send_listing(address)
+            self.exchange.send_listing(address, version)
 
     def membership_changed(self) -> None:
         """Update the reader roles and discard the state of removed upstreams."""
--- a/foxtailway/sidecar/peer_pool.py
+++ b/foxtailway/sidecar/peer_pool.py
@@ -57,6 +57,9 @@
 PEER_AVOIDANCE_S = 0.5
 # Time added to the deadline for the transfer of the response.
 RESPONSE_TRANSIT_SLACK_S = 0.2
+# Bound of the messages that wait for the first stream to one peer, in bytes. It holds
+# a listing of several thousand routes.
+MAX_WAITING_BYTES = 1_000_000
 
 
 class PeerLink(PeerStreamHandler):
@@ -73,6 +76,8 @@
     ----------
     unavailable_until : float
         Monotonic time in seconds until which the peer gets no calls.
+    waiting : list of bytes
+        Encoded messages that are sent when a stream is open.
     """
 
     def __init__(self, *, address: str, pool: "PeerPool") -> None:
@@ -84,6 +89,7 @@
         self.streams: dict[PeerStream, dict[int, PendingCall]] = {}
         self.connect_task: asyncio.Task | None = None
         self.unavailable_until = float("-inf")
+        self.waiting: list[bytes] = []
         self.n_connect_failures = 0
         self.probe_timer: asyncio.TimerHandle | None = None
         self.pause_detector = PauseDetector(
@@ -123,14 +129,17 @@
             calls.pop(call_id, None)
 
     def write(self, encoded: bytes) -> None:
-        """Send an encoded message if a stream is open.
+        """Send an encoded message, if necessary after a stream was opened.
 
-        Otherwise the message is dropped and a stream is opened for later ones.
+        The message is dropped while the peer is unavailable.
         """
         stream = next(iter(self.streams), None)
         if stream is not None:
             stream.write(encoded)
         elif self.unavailable_until <= self.loop.time():
+            n_waiting_bytes = sum(map(len, self.waiting))
+            if n_waiting_bytes + len(encoded) <= MAX_WAITING_BYTES:
+                self.waiting.append(encoded)
             self.start_connecting()
 
     async def acquire_stream(self) -> PeerStream | None:
@@ -174,6 +183,7 @@
                 )
         except (OSError, TimeoutError) as error:
             if not self.streams:
+                self.waiting.clear()
                 self.unavailable_until = self.loop.time() + self.compute_backoff()
                 self.n_connect_failures += 1
                 self.log.write(
@@ -187,9 +197,12 @@
         return min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2**self.n_connect_failures)
 
     def stream_opened(self, stream: PeerStream) -> None:
-        """Register the stream and reset the backoff."""
+        """Register the stream, reset the backoff and send the waiting messages."""
         self.streams[stream] = {}
         self.n_connect_failures = 0
+        for encoded in self.waiting:
+            stream.write(encoded)
+        self.waiting.clear()
 
     def message_received(self, stream: PeerStream, message: Any) -> None:
         """Handle one message; an unexpected type closes the stream."""
@@ -207,7 +220,7 @@
             case PeerCrash():
                 self.pool.guard.record_crash(message.fingerprint, message.upstream_id)
             case PeerListingRequest():
-                self.pool.on_listing_request(self.address)
+                self.pool.on_listing_request(self.address, message.version)
             case PeerPong():
                 return
             case _:
@@ -322,7 +335,8 @@
     guard : CrashGuard
         Records the crashes that peers report.
     on_listing_request : callable
-        Called with the address of a peer that requests a listing.
+        Called with the address of a peer that requests a listing and the version of
+        its configuration.
     log : EventLog
         Event log.
     """
@@ -333,7 +347,7 @@
         port: int,
         codec: MessageSchemas,
         guard: CrashGuard,
-        on_listing_request: Callable[[str], None],
+        on_listing_request: Callable[[str, int], None],
         log: EventLog,
     ) -> None:
         self.guard = guard
@@ -348,11 +362,11 @@
         return await self.get_link(address).call(call)
 
     def send(self, address: str, message: object) -> None:
-        """Send a message to a sidecar; it is dropped if no stream is open."""
+        """Send a message to a sidecar; it is dropped while the peer is unavailable."""
         self.broadcast((address,), message)
 
     def broadcast(self, addresses: Iterable[str], message: object) -> None:
-        """Send a message to sidecars; it is dropped where no stream is open."""
+        """Send a message to all sidecars of `addresses` that are available."""
         encoded = self.codec.encode(message)
         for address in addresses:
             self.get_link(address).write(encoded)
--- a/foxtailway/sidecar/update_exchange.py
+++ b/foxtailway/sidecar/update_exchange.py
@@ -42,6 +42,9 @@
 # Time for which a new node waits for its own listing of the store before it requests
 # one from a reader.
 INITIAL_LISTING_DELAY_S = 1.0
+# Number of recent configurations that a node keeps, so that it can send the changes
+# since one of them in place of all routes.
+N_RECENT_CONFIGURATIONS = 8
 NO_MEMBERSHIP_CHANGE = MembershipChange()
 
 
@@ -72,6 +75,13 @@
         first listing.
     configuration : TrafficConfiguration or None
         Newest known configuration.
+    recent : dict of int to TrafficConfiguration
+        Last configurations by version, in order of application.
+    applied_at : dict of int to float
+        Monotonic time in seconds at which each of them was applied.
+    packed_changes : dict of int to bytes
+        Packed change to the newest configuration by base version. Many nodes may
+        request the same change at once.
     up_to_date_at : float
         Monotonic time in seconds at which this state was last known to equal the
         state of the store.
@@ -102,7 +112,9 @@
         self.listing_requested_at = (
             self.loop.time() + INITIAL_LISTING_DELAY_S - MIN_LISTING_INTERVAL_S
         )
-        self.packed_configuration = b""
+        self.recent: dict[int, TrafficConfiguration] = {}
+        self.applied_at: dict[int, float] = {}
+        self.packed_changes: dict[int, bytes] = {}
 
     @property
     def version(self) -> int:
@@ -111,6 +123,16 @@
             return NO_VERSION
         return self.configuration.version
 
+    def count_versions_since(self, since: float) -> int:
+        """Return how many of the recent configurations were applied since a time.
+
+        Parameters
+        ----------
+        since : float
+            Monotonic time in seconds.
+        """
+        return sum(applied_at >= since for applied_at in self.applied_at.values())
+
     def publish_change(self, change: RegistryChange, age_s: float) -> None:
         """Apply a change read from the store and, as a reader, send it to followers.
 
@@ -170,25 +192,35 @@
     def announce_reader(self) -> None:
         """Announce this node to the other regions if it is the reader of its region."""
         roles = self.roles
-        if not roles.is_reader(self.loop.time()) or not roles.remote_peers:
-            return
-        message = PeerReaderAnnouncement(
+        if roles.is_reader(self.loop.time()) and roles.remote_peers:
+            self.peers.broadcast(roles.remote_peers, self.make_announcement())
+
+    def make_announcement(self) -> PeerReaderAnnouncement:
+        """Return the announcement of this node as the reader of its region."""
+        roles = self.roles
+        return PeerReaderAnnouncement(
             address=self.address,
             region=roles.region,
             rank=roles.rank,
             store_delay_us=int(min(MAX_STORE_DELAY_S, roles.store_delay_s) * 1e6),
         )
-        self.peers.broadcast(roles.remote_peers, message)
 
     def receive_announcement(self, message: PeerReaderAnnouncement) -> None:
-        """Record the reader of another region."""
+        """Record the reader of another region.
+
+        A reader replies with its own announcement to a new one. Otherwise the new one
+        would learn of it only with its next periodic announcement.
+        """
+        now = self.loop.time()
         reader = RemoteReader(
             address=message.address,
             rank=message.rank,
             store_delay_s=message.store_delay_us / 1e6,
-            announced_at=self.loop.time(),
+            announced_at=now,
         )
-        self.roles.record_remote_reader(message.region, reader)
+        is_new = self.roles.record_remote_reader(message.region, reader)
+        if is_new and self.roles.is_reader(now):
+            self.peers.send(message.address, self.make_announcement())
 
     def relay(self, update: PeerUpdate) -> None:
         """Forward an update from a reader of another region to this region."""
@@ -233,24 +265,41 @@
             change=change,
         )
 
-    def send_listing(self, address: str) -> None:
-        """Send a full listing to a sidecar; no-op before the first listing."""
+    def send_listing(self, address: str, version: int = NO_VERSION) -> None:
+        """Send a listing to a sidecar; no-op before the first listing of this node.
+
+        Parameters
+        ----------
+        address : str
+            Address of the sidecar.
+        version : int, default=NO_VERSION
+            Version of its configuration. If this node still has that version, it sends
+            the routes that differ, otherwise all.
+        """
         if self.revision is None:
             return
         update = self.make_update(
             base_revision=None,
             members=MembershipChange(upstreams=self.membership.list_registered()),
-            change=self.pack_configuration(),
+            change=self.pack_change_since(version),
         )
         self.peers.send(address, update)
 
-    def pack_configuration(self) -> bytes:
-        """Return the packed configuration; cached, as many may request it at once."""
-        if self.configuration is not None and not self.packed_configuration:
-            self.packed_configuration = pack(
-                compare_configurations(None, self.configuration)
-            )
-        return self.packed_configuration
+    def pack_change_since(self, version: int) -> bytes:
+        """Return the packed change from a version to the newest configuration.
+
+        It is empty if that version is not older, and contains all routes if it is not
+        among the recent ones.
+        """
+        if self.configuration is None or version >= self.version:
+            return b""
+        base = self.recent.get(version)
+        base_version = NO_VERSION if base is None else version
+        packed = self.packed_changes.get(base_version)
+        if packed is None:
+            packed = pack(compare_configurations(base, self.configuration))
+            self.packed_changes[base_version] = packed
+        return packed
 
     def receive_update(
         self, update: PeerUpdate, send_reply: Callable[[PeerListingRequest], None]
@@ -348,7 +397,12 @@
         if configuration.version <= self.version:
             return
         self.configuration = configuration
-        self.packed_configuration = b""
+        self.packed_changes.clear()
+        self.recent[configuration.version] = configuration
+        self.applied_at[configuration.version] = self.loop.time()
+        if len(self.recent) > N_RECENT_CONFIGURATIONS:
+            oldest_version = next(iter(self.recent))
+            del self.recent[oldest_version], self.applied_at[oldest_version]
         self.apply(configuration)
 
     def log_changes(self, change: RegistryChange) -> None:
--- a/foxtailway/traffic/reader_roles.py
+++ b/foxtailway/traffic/reader_roles.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from math import log2
 
 from foxtailway.routing.rendezvous import rank_names
 from foxtailway.traffic.membership import Upstream, UpstreamState
@@ -20,8 +21,12 @@
 # Smallest processor time of a preferred reader, in core-seconds per second. The host
 # processes the bursts of changes.
 MIN_READER_CORES = 0.5
-# Longest wait of a reader for changes, as a share of the time to apply.
-CONFIRM_SHARE = 0.3
+# Longest time between two confirmations of a reader, as a share of the time to apply.
+CONFIRM_SHARE = 0.25
+# Age of the last confirmation by the nearest reader at which the reader of another
+# region reads the store itself, as a share of the time to apply. It has to do so before
+# the first of its followers becomes the reader.
+REMOTE_TIMEOUT_SHARE = 0.4
 # Age of the last confirmation at which the first node in rank becomes the reader, as
 # a share of the time to apply.
 FIRST_FAIL_OVER_SHARE = 0.45
@@ -37,8 +42,13 @@
 # Number of groups in the ranking: preferred hosts, then all other hosts and those with
 # a draining upstream.
 N_RANK_GROUPS = 2
+# Number of times that the nodes which may have become the reader double between the
+# first and the last share.
+N_FAIL_OVER_DOUBLINGS = 8
 # Interval at which a reader announces itself to other regions.
 ANNOUNCE_INTERVAL_S = 2.0
+# Time after an announcement at which any other reader of the region takes precedence.
+ANNOUNCEMENT_TIMEOUT_S = 2.5
 # Time after which an announcement expires.
 ANNOUNCEMENT_TTL_S = 7.0
 # Smallest difference of two readers' delays to the store at which the nearer one
@@ -84,9 +94,14 @@
 
     @property
     def confirm_interval_s(self) -> float:
-        """Longest wait of a reader for changes, in seconds."""
+        """Longest time between two confirmations of a reader, in seconds."""
         return CONFIRM_SHARE * self.apply_s
 
+    @property
+    def remote_timeout_s(self) -> float:
+        """Age of a confirmation at which a far reader reads the store, in seconds."""
+        return REMOTE_TIMEOUT_SHARE * self.apply_s
+
     @property
     def follower_timeout_s(self) -> float:
         """Age of a confirmation at which a follower reads the store, in seconds."""
@@ -260,8 +275,13 @@
         )
 
     def compute_fail_over_delay_s(self) -> float:
-        """Return the age of a confirmation at which this node becomes the reader."""
-        position = self.rank / (N_RANK_GROUPS * (len(self.peers) + 1))
+        """Return the age of a confirmation at which this node becomes the reader.
+
+        It grows with the logarithm of the rank: in a region of any size, only a few
+        nodes become the reader before the first of them has read the store and
+        confirmed the state of the others.
+        """
+        position = log2(1 + self.rank) / N_FAIL_OVER_DOUBLINGS
         return self.timings.fail_over_s(min(1.0, position))
 
     def record_listing(self, listed_at: float) -> None:
@@ -298,19 +318,28 @@
         region only the reader of another region counts.
         """
         if self.is_reader(now):
-            return now - self.remote_confirmed_at < self.timings.fail_over_s(0.0)
+            return now - self.remote_confirmed_at < self.timings.remote_timeout_s
         return now - self.confirmed_at < self.timings.follower_timeout_s
 
-    def record_remote_reader(self, region: str, reader: RemoteReader) -> None:
-        """Record the reader of another region; the first in rank has precedence."""
+    def record_remote_reader(self, region: str, reader: RemoteReader) -> bool:
+        """Record the reader of another region and return whether it is a new one.
+
+        The first in rank has precedence unless it misses its announcements or its host
+        is no longer registered.
+        """
+        if reader.address not in self.remote_peers:
+            return False
         current = self.remote_readers.get(region)
         if (
             current is None
+            or current.address not in self.remote_peers
             or current.address == reader.address
             or reader.rank < current.rank
-            or reader.announced_at - current.announced_at > ANNOUNCEMENT_TTL_S
+            or reader.announced_at - current.announced_at > ANNOUNCEMENT_TIMEOUT_S
         ):
             self.remote_readers[region] = reader
+            return current is None or current.address != reader.address
+        return False
 
     def list_followers(self, now: float) -> tuple[str, ...]:
         """Return the addresses that this node updates while it is the reader."""
