Give each call of the proxy a connection of its own and bound its framing

Cause: the proxy's client kept connections to the upstream for idempotent requests. Its responses bear no identifier, so that a late second copy of a response was returned to the next caller. Chunk extensions without end were read until the deadline, and chunks of one byte took nine times their size.

Change: every request has its own connection. Bytes that frame a body are counted and bounded, and the body is collected in one buffer. The limits on responses move to transport, since proxy and sidecar share them. The test that demanded reused connections now demands one connection a request.

Seen failing before, with the faults of foxtailway.testing.faulty_upstream: both late copies, chunk extensions (15 s without an end), chunks (31 MB).

--- a/foxtailway/proxy/tests/test_upstream.py
+++ b/foxtailway/proxy/tests/test_upstream.py
@@ -108,11 +108,13 @@
         self.assertEqual(results[1].error.reason, RefusalReason.LOST)
         self.assertEqual(upstream.n_requests, 2)
 
-    async def test_connection_is_reused_for_idempotent_requests(self):
-        gets = [make_request(is_idempotent=True)] * 3
-        upstream, results = await self.run_requests([OK_RESPONSE], gets)
-        self.assertTrue(all(result.is_ok() for result in results))
-        self.assertEqual(upstream.n_connections, 1)
+    async def test_every_request_has_a_connection_of_its_own(self):
+        """Guard against a late copy of a response on a connection in use again."""
+        for is_idempotent in (True, False):
+            requests = [make_request(is_idempotent=is_idempotent)] * 3
+            upstream, results = await self.run_requests([OK_RESPONSE], requests)
+            self.assertTrue(all(result.is_ok() for result in results))
+            self.assertEqual(upstream.n_connections, 3)
 
     async def test_truncated_body_is_not_returned_as_a_response(self):
         """Guard against a connection that closes within the body."""
--- a/foxtailway/proxy/upstream.py
+++ b/foxtailway/proxy/upstream.py
@@ -19,11 +19,14 @@
 )
 from foxtailway.proxy.message import CallRequest, CallResponse
 from foxtailway.routing.outcome import Outcome, Refusal, RefusalReason
+from foxtailway.transport.response_limits import HeadMeter
 
 __all__ = ["CancelToken", "CurlUpstreamClient", "UpstreamClient"]
 
 METHOD_PATTERN = re.compile(r"[A-Za-z!#$%&'*+.^_`|~0-9-]+")
 TARGET_PATTERN = re.compile(r"/[!-~]*")
+# Largest number of bytes that frame one body, beside one for each byte of the body.
+MAX_FRAMING_SIZE = 65_536
 # Header that tornado's curl client adds to a response with its reason phrase.
 REASON_PHRASE_HEADER = "X-Http-Reason"
 
@@ -111,9 +114,10 @@
 
     Notes
     -----
-    libcurl resends a request if a reused connection closes before the first
-    byte of the response. A request that is not idempotent is therefore always
-    sent on a new connection.
+    Each request has a connection of its own. Responses bear no identifier, so that on
+    a connection in use again, a late second copy of a response would be taken for the
+    response to the next request. libcurl also resends a request if a reused connection
+    closes before the first byte of the response.
     """
 
     def __init__(
@@ -147,7 +151,7 @@
         """Send a request once and wait for the complete response."""
         body = ResponseBody(max_size=self.max_body_size, token=token)
         transfer = Transfer(
-            is_idempotent=request.is_idempotent,
+            body=body,
             token=token,
             clock=self.clock,
             deadline=self.clock.now() + timeout_s,
@@ -188,7 +192,7 @@
                 call_id=request.call_id,
                 status=response.code,
                 headers=forwardable_headers(response.headers),
-                body=b"".join(body.chunks),
+                body=bytes(body.content),
             )
         )
 
@@ -220,7 +224,7 @@
 
 
 class ResponseBody:
-    """Collect a response body up to a maximum size.
+    """Collect a response body up to a maximum size, and bound its framing.
 
     Parameters
     ----------
@@ -228,24 +232,40 @@
         Largest accepted body, in bytes.
     token : CancelToken
         Cancelled when the body is too large.
+
+    Attributes
+    ----------
+    is_too_large : bool
+        Whether the body, or what frames it, exceeded its bound.
     """
 
     def __init__(self, *, max_size: int, token: CancelToken) -> None:
         self.max_size = max_size
         self.token = token
-        self.chunks: list[bytes] = []
-        self.n_bytes = 0
+        self.content = bytearray()
+        self.meter = HeadMeter()
         self.is_too_large = False
 
     def append(self, chunk: bytes) -> None:
         """Append the next chunk; cancel the transfer if the body is too large."""
-        self.n_bytes += len(chunk)
-        if self.n_bytes > self.max_size:
-            self.is_too_large = True
-            self.chunks.clear()
-            self.token.cancel()
-            return
-        self.chunks.append(chunk)
+        self.meter.n_body += len(chunk)
+        if self.meter.n_body > self.max_size:
+            self.reject()
+        if not self.is_too_large:
+            self.content += chunk
+
+    def record_received(self, n_bytes: int) -> None:
+        """Count received bytes of the body and its framing."""
+        # libcurl passes on bytes before their body is extracted.
+        if self.meter.is_exceeded(MAX_FRAMING_SIZE):
+            self.reject()
+        self.meter.n_received += n_bytes
+
+    def reject(self) -> None:
+        """Discard the response and end its transfer."""
+        self.is_too_large = True
+        self.content.clear()
+        self.token.cancel()
 
 
 class Transfer:
@@ -253,8 +273,8 @@
 
     Parameters
     ----------
-    is_idempotent : bool
-        Whether an open connection may be reused.
+    body : ResponseBody
+        Body that is received.
     token : CancelToken
         Ends the transfer when cancelled.
     clock : Clock
@@ -269,9 +289,9 @@
     """
 
     def __init__(
-        self, *, is_idempotent: bool, token: CancelToken, clock: Clock, deadline: float
+        self, *, body: ResponseBody, token: CancelToken, clock: Clock, deadline: float
     ) -> None:
-        self.is_idempotent = is_idempotent
+        self.body = body
         self.token = token
         self.clock = clock
         self.deadline = deadline
@@ -284,16 +304,25 @@
 
     def prepare(self, curl: pycurl.Curl) -> None:
         """Set the options and callbacks of a curl handle."""
-        curl.setopt(pycurl.FRESH_CONNECT, 0 if self.is_idempotent else 1)
+        curl.setopt(pycurl.FRESH_CONNECT, 1)
+        curl.setopt(pycurl.FORBID_REUSE, 1)
         curl.setopt(pycurl.NOPROGRESS, 0)
         curl.setopt(pycurl.XFERINFOFUNCTION, self.handle_progress)
         curl.setopt(pycurl.PREREQFUNCTION, self.handle_connected)
         curl.setopt(pycurl.PROXY, "")
+        # The only way to see the bytes that frame a body, such as chunk extensions.
+        curl.setopt(pycurl.VERBOSE, 1)
+        curl.setopt(pycurl.DEBUGFUNCTION, self.handle_debug)
 
     def handle_progress(self, *_sizes: int) -> int:
         """Return 1, which aborts the transfer, if the request is cancelled."""
         return int(self.token.is_cancelled)
 
+    def handle_debug(self, kind: int, data: bytes) -> None:
+        """Count the bytes that were received after the header section."""
+        if kind == pycurl.INFOTYPE_DATA_IN:
+            self.body.record_received(len(data))
+
     def handle_connected(self, *_addresses: object) -> int:
         """Decide on an established connection whether the request is sent.
 
--- a/foxtailway/sidecar/http_connection.py
+++ b/foxtailway/sidecar/http_connection.py
@@ -5,7 +5,7 @@
 
 import httptools
 
-from foxtailway.sidecar.response_limits import (
+from foxtailway.transport.response_limits import (
     DEFAULT_RESPONSE_LIMITS,
     BufferBudget,
     HeadMeter,
--- a/foxtailway/sidecar/http_listener.py
+++ b/foxtailway/sidecar/http_listener.py
@@ -15,8 +15,8 @@
     encode_headers,
     encode_response,
 )
-from foxtailway.sidecar.response_limits import HeadMeter
 from foxtailway.traffic.configuration import ClientLimits
+from foxtailway.transport.response_limits import HeadMeter
 
 __all__ = ["HttpListener", "RequestHandler"]
 
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -19,7 +19,6 @@
 from foxtailway.sidecar.peer_pool import PeerPool
 from foxtailway.sidecar.peer_stream import make_peer_codec
 from foxtailway.sidecar.readiness import ReadinessHandler
-from foxtailway.sidecar.response_limits import BufferBudget, ResponseLimits
 from foxtailway.sidecar.settings import Endpoint, SidecarSettings
 from foxtailway.sidecar.update_exchange import UpdateExchange
 from foxtailway.sidecar.upstream_pool import UpstreamPool
@@ -32,6 +31,7 @@
     ReaderTimings,
 )
 from foxtailway.traffic.selection import UpstreamSelector
+from foxtailway.transport.response_limits import BufferBudget, ResponseLimits
 
 __all__ = ["SidecarNode", "StopTimes", "wait_until_idle"]
 
--- a/foxtailway/sidecar/upstream_pool.py
+++ b/foxtailway/sidecar/upstream_pool.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from foxtailway.sidecar.http_connection import HttpConnection, connect_http
-from foxtailway.sidecar.response_limits import (
+from foxtailway.transport.response_limits import (
     DEFAULT_RESPONSE_LIMITS,
     BufferBudget,
     ResponseLimits,
