Let an unexpected error end at most its own request or connection

Cause: an error that no code expects, raised while a request is handled, left its client without an answer on an open connection, and a peer without a result until the deadline. Raised in a periodic task or in the watcher of the store, it ended that task for good, so that the process went on with an old configuration. A version whose application failed counted as applied.

Change: the listener answers 502, since the request may have run; the peer gets an unknown result; periodic tasks schedule their next run first; the watcher lists the store again; a version counts as known after it was applied. All of these, and what reaches the event loop, are logged as unexpected_error with a traceback, and counted.

--- a/benchmarks/http_stack.py
+++ b/benchmarks/http_stack.py
@@ -12,6 +12,7 @@
 from foxtailway.sidecar.http_connection import connect_http
 from foxtailway.sidecar.http_listener import HttpListener, RequestHandler
 from foxtailway.sidecar.http_message import ClientRequest, HeaderNames, Response
+from foxtailway.sidecar.tests.support import make_log
 
 __all__ = ["main"]
 
@@ -94,7 +95,7 @@
     tornado_server = HTTPServer(respond_with_tornado)
     tornado_server.listen(0, "127.0.0.1")
     (sock,) = tornado_server._sockets.values()
-    listener = HttpListener(handler=FixedHandler(), names=HEADER_NAMES)
+    listener = HttpListener(handler=FixedHandler(), names=HEADER_NAMES, log=make_log())
     await listener.listen(address="127.0.0.1", port=0)
     listener_port = listener.server.sockets[0].getsockname()[1]
     cpu_ms_by_library = {
--- a/foxtailway/platform/main.py
+++ b/foxtailway/platform/main.py
@@ -108,8 +108,11 @@
         """Reload the settings when their file changes, until cancelled."""
         while True:
             await asyncio.sleep(SETTINGS_CHECK_INTERVAL_S)
-            if get_modification_time_ns(self.path) != self.modified_at_ns:
-                self.reload()
+            try:
+                if get_modification_time_ns(self.path) != self.modified_at_ns:
+                    self.reload()
+            except Exception as error:
+                self.log.write_error("reload", error)
 
     def reload(self) -> None:
         """Apply changed settings; changes of listeners need a restart.
--- a/foxtailway/platform/store_watcher.py
+++ b/foxtailway/platform/store_watcher.py
@@ -49,6 +49,8 @@
 # Longest pause of a reader before jitter. It is shorter than that of other nodes, which
 # `ReaderTimings` limits, since followers depend on the reader.
 MAX_READER_BACKOFF_S = 0.8
+# Pause after an unexpected error, which may occur again at once.
+ERROR_PAUSE_S = 0.5
 ALL_KEYS = ""
 
 
@@ -101,6 +103,11 @@
                 await asyncio.sleep(FIRST_BACKOFF_S)
             except StoreError as error:
                 await self.back_off(error)
+            except Exception as error:
+                # A part of a change may have been applied.
+                self.node.log.write_error("watch", error)
+                self.is_listing_needed = True
+                await asyncio.sleep(ERROR_PAUSE_S)
 
     async def back_off(self, error: StoreError) -> None:
         """Record that the store failed and pause before the next call."""
--- a/foxtailway/platform/tests/fake_store.py
+++ b/foxtailway/platform/tests/fake_store.py
@@ -10,6 +10,7 @@
 from foxtailway.sidecar.http_listener import HttpListener, RequestHandler
 from foxtailway.sidecar.http_message import ClientRequest, Response
 from foxtailway.sidecar.settings import Endpoint
+from foxtailway.sidecar.tests.support import make_log
 
 PAGE_SIZE = 3
 
@@ -36,7 +37,7 @@
         self.is_hanging = False
         self.calls: list[str] = []
         self.changed = asyncio.Event()
-        self.listener = HttpListener(handler=self, names=HEADER_NAMES)
+        self.listener = HttpListener(handler=self, names=HEADER_NAMES, log=make_log())
 
     async def start(self) -> Endpoint:
         """Listen on a free port and return the endpoint."""
--- a/foxtailway/platform/tests/test_store_watcher.py
+++ b/foxtailway/platform/tests/test_store_watcher.py
@@ -2,7 +2,7 @@
 from contextlib import suppress
 from random import Random
 from unittest import IsolatedAsyncioTestCase
-from unittest.mock import patch
+from unittest.mock import DEFAULT, patch
 
 import msgpack
 
@@ -334,6 +334,42 @@
         del self.store.encode
         await wait_until(lambda: self.watcher.outage_started_at is None)
 
+    async def test_watcher_goes_on_after_an_unexpected_error(self) -> None:
+        """The change during which an error occurred is applied with a listing."""
+        await self.start()
+        apply_locally = self.node.exchange.apply_locally
+        error = RuntimeError("injected")
+        with (
+            patch.object(store_watcher_module, "ERROR_PAUSE_S", 0.0),
+            patch.object(
+                self.node.exchange,
+                "apply_locally",
+                side_effect=(error, error, DEFAULT),
+                wraps=apply_locally,
+            ),
+        ):
+            self.store.put("servers/u-9", make_entry())
+            async with asyncio.timeout(LONG_TIMEOUT_S):
+                await wait_until(lambda: self.n_ready == 6)
+        self.assertEqual(self.node.log.n_errors, 2)
+
+    async def test_version_that_cannot_be_applied_is_not_in_force(self) -> None:
+        await self.start()
+        node = self.node
+        apply = node.exchange.apply
+        failures = [RuntimeError("injected")]
+
+        def fail_once(configuration: TrafficConfiguration) -> None:
+            if failures:
+                raise failures.pop()
+            apply(configuration)
+
+        node.exchange.apply = fail_once
+        with patch.object(store_watcher_module, "ERROR_PAUSE_S", 0.0):
+            self.store.put("op/config", make_configuration(4))
+            async with asyncio.timeout(LONG_TIMEOUT_S):
+                await wait_until(lambda: node.versions == [3, 4])
+
     async def test_long_outage_ends_with_a_listing(self) -> None:
         await self.start()
         self.store.status = 503
--- a/foxtailway/sidecar/http_listener.py
+++ b/foxtailway/sidecar/http_listener.py
@@ -3,7 +3,6 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections import deque
-from collections.abc import Callable
 
 import httptools
 
@@ -15,6 +14,7 @@
     encode_headers,
     encode_response,
 )
+from foxtailway.sidecar.log import EventLog
 from foxtailway.traffic.configuration import ClientLimits
 from foxtailway.transport.response_limits import HeadMeter
 
@@ -32,6 +32,8 @@
 # Connections that the operating system queues before they are accepted.
 LISTEN_BACKLOG = 1024
 RESPONSE_BAD_REQUEST = Response(status=400)
+# Response after an unexpected error. The request may have run.
+RESPONSE_ERROR = Response(status=502)
 RESPONSE_TIMEOUT = Response(status=408)
 RESPONSE_BODY_TOO_LARGE = Response(status=413)
 RESPONSE_HEADERS_TOO_LARGE = Response(status=431)
@@ -216,17 +218,29 @@
         try:
             while self.queue:
                 request, is_keep_alive = self.queue.popleft()
-                response = await self.listener.handler.handle(request)
+                response = await self.handle(request)
                 is_last = not is_keep_alive or self.listener.is_closing
                 self.write(response, request.method == "HEAD", is_last)
                 if is_last:
                     self.queue.clear()
                     return
                 self.transport.resume_reading()
+        except Exception as error:
+            self.listener.log.write_error("respond", error)
+            self.is_ended = True
+            self.transport.abort()
         finally:
             self.response_task = None
             self.idle_since = self.loop.time()
 
+    async def handle(self, request: ClientRequest) -> Response:
+        """Return the response of the handler, or 502 after an unexpected error."""
+        try:
+            return await self.listener.handler.handle(request)
+        except Exception as error:
+            self.listener.log.write_error("handle", error, request.request_id)
+            return RESPONSE_ERROR
+
     def write(self, response: Response, is_head_request: bool, is_last: bool) -> None:
         """Write a response and close the connection after the last one."""
         if self.transport.is_closing():
@@ -284,6 +298,8 @@
         Handler of the requests.
     names : HeaderNames
         Names of the headers that the mesh interprets.
+    log : EventLog
+        Event log.
 
     Attributes
     ----------
@@ -293,8 +309,11 @@
         Whether each response closes its connection.
     """
 
-    def __init__(self, *, handler: RequestHandler, names: HeaderNames) -> None:
+    def __init__(
+        self, *, handler: RequestHandler, names: HeaderNames, log: EventLog
+    ) -> None:
         self.handler = handler
+        self.log = log
         self.names = names
         self.limits = ClientLimits()
         self.excluded_headers = CONNECTION_HEADERS | {
@@ -315,19 +334,23 @@
             port,
             backlog=LISTEN_BACKLOG,
         )
-        self.schedule_timeout_check(loop.call_later)
+        self.schedule_timeout_check()
 
-    def schedule_timeout_check(self, call_later: Callable) -> None:
+    def schedule_timeout_check(self) -> None:
         """Schedule the next timeout check."""
-        self.timeout_timer = call_later(TIMEOUT_CHECK_INTERVAL_S, self.close_expired)
+        self.timeout_timer = asyncio.get_running_loop().call_later(
+            TIMEOUT_CHECK_INTERVAL_S, self.close_expired
+        )
 
     def close_expired(self) -> None:
-        """Close the connections whose timeouts have expired."""
-        loop = asyncio.get_running_loop()
-        now = loop.time()
+        """Close the connections whose timeouts have expired.
+
+        The next check is scheduled first, so that an error does not end the checks.
+        """
+        self.schedule_timeout_check()
+        now = asyncio.get_running_loop().time()
         for connection in list(self.connections):
             connection.close_expired(now)
-        self.schedule_timeout_check(loop.call_later)
 
     @property
     def n_active_connections(self) -> int:
--- a/foxtailway/sidecar/log.py
+++ b/foxtailway/sidecar/log.py
@@ -4,6 +4,7 @@
 import os
 import time
 from collections import deque
+from traceback import format_exception
 
 __all__ = ["EventLog"]
 
@@ -11,6 +12,8 @@
 MAX_PENDING_LINES = 2_000
 # Rate limit for lines that belong to requests; lines about the process are exempt.
 MAX_REQUEST_LINES_PER_S = 50
+# Bound of one traceback, in characters; its end names the failed statement.
+MAX_TRACEBACK_LENGTH = 4_000
 
 
 class EventLog:
@@ -27,6 +30,8 @@
     ----------
     n_dropped : int
         Lines dropped because of the rate limit or of a slow reader.
+    n_errors : int
+        Unexpected errors that were written.
     """
 
     def __init__(self, *, host_id: str, descriptor: int = 1) -> None:
@@ -34,6 +39,7 @@
         self.descriptor = descriptor
         self.pending_lines: deque[bytes] = deque()
         self.n_dropped = 0
+        self.n_errors = 0
         self.current_second = 0
         self.n_request_lines = 0
 
@@ -68,6 +74,32 @@
         line.update(fields)
         self.write_line(json.dumps(line, default=str).encode() + b"\n")
 
+    def write_error(
+        self, step: str, error: BaseException, request_id: str = "", **fields: object
+    ) -> None:
+        """Write an unexpected error with its traceback, and count it.
+
+        Parameters
+        ----------
+        step : str
+            What failed.
+        error : BaseException
+            Error that was raised.
+        request_id : str, default=""
+            Identifier of the request that failed, if it was one.
+        **fields : object
+            Further members of the line, such as the peer.
+        """
+        self.n_errors += 1
+        self.write(
+            "unexpected_error",
+            request_id,
+            step=step,
+            error=repr(error),
+            traceback="".join(format_exception(error))[-MAX_TRACEBACK_LENGTH:],
+            **fields,
+        )
+
     def admit_request_line(self, current_second: int) -> bool:
         """Count a line of a request and return whether the rate limit admits it."""
         if current_second != self.current_second:
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -5,6 +5,7 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from random import Random
+from typing import Any
 
 from foxtailway.common.clock import MonotonicClock
 from foxtailway.sidecar.attempt_sender import AttemptSender
@@ -170,13 +171,16 @@
             log=log,
             random_source=random_source,
         )
-        self.client_listener = HttpListener(handler=self.dispatcher, names=names)
+        self.client_listener = HttpListener(
+            handler=self.dispatcher, names=names, log=log
+        )
         self.ready_listener = HttpListener(
             handler=ReadinessHandler(path=ready_path, is_ready=self.is_ready),
             names=names,
+            log=log,
         )
         self.metrics_listener = HttpListener(
-            handler=MetricsHandler(metrics=self.metrics), names=names
+            handler=MetricsHandler(metrics=self.metrics), names=names, log=log
         )
 
     async def start(self, *, metrics_endpoint: Endpoint | None = None) -> None:
@@ -188,6 +192,7 @@
             Endpoint on which metrics are served; None for none.
         """
         settings = self.settings
+        self.loop.set_exception_handler(self.handle_loop_error)
         self.exit_stack.callback(self.runner.close)
         self.exit_stack.callback(self.peers.close)
         await self.peer_listener.listen(port=settings.peer_listener.port)
@@ -201,10 +206,26 @@
                 continue
             await listener.listen(address=endpoint.address, port=endpoint.port)
             self.exit_stack.callback(listener.close)
+        self.schedule_tick()
+
+    def schedule_tick(self) -> None:
+        """Schedule the next call of `tick`."""
         self.tick_timer = self.loop.call_later(TICK_INTERVAL_S, self.tick)
 
+    def handle_loop_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Log an error that no task or callback has handled."""
+        message = context["message"]
+        error = context.get("exception") or RuntimeError(message)
+        self.log.write_error("event loop", error, detail=message)
+
     def tick(self) -> None:
-        """Remove expired upstreams, log role changes and announce this reader."""
+        """Remove expired upstreams, log role changes and announce this reader.
+
+        The next call is scheduled first, so that an error does not end the calls.
+        """
+        self.schedule_tick()
         now = self.loop.time()
         self.membership.remove_expired(now)
         if self.roles.is_reader(now) != self.is_reader:
@@ -217,7 +238,6 @@
         if now - self.announced_at >= ANNOUNCE_INTERVAL_S:
             self.announced_at = now
             self.exchange.announce_reader()
-        self.tick_timer = self.loop.call_later(TICK_INTERVAL_S, self.tick)
 
     def is_ready(self) -> bool:
         """Return whether new requests are accepted."""
@@ -257,6 +277,7 @@
         return {
             "configuration_version": configuration.version if configuration else 0,
             "log_lines_dropped": self.log.n_dropped,
+            "unexpected_errors": self.log.n_errors,
             "bodies_receiving": self.runner.n_receiving,
             "peers": len(self.peers.links),
             "ready": int(self.is_ready()),
--- a/foxtailway/sidecar/peer_listener.py
+++ b/foxtailway/sidecar/peer_listener.py
@@ -128,11 +128,15 @@
     async def run_call(
         self, stream: PeerStream, message: PeerRequest, call: UpstreamCall
     ) -> None:
-        """Run a request and send its result."""
-        if message.body_size:
-            result = await self.run_with_body(stream, message, call)
-        else:
-            result = await self.runner.run(call)
+        """Run a request and send its result; after an error, it may have run."""
+        try:
+            if message.body_size:
+                result = await self.run_with_body(stream, message, call)
+            else:
+                result = await self.runner.run(call)
+        except Exception as error:
+            self.log.write_error("run", error, call.request_id, peer=stream.peer)
+            result = self.runner.make_refusal(RefusalReason.LOST, is_offered=True)
         stream.send(encode_result(message.call_id, result))
         self.streams.get(stream, {}).pop(message.call_id, None)
 
--- a/foxtailway/sidecar/tests/test_documentation.py
+++ b/foxtailway/sidecar/tests/test_documentation.py
@@ -3,7 +3,7 @@
 from unittest import TestCase
 
 ROOT = Path(__file__).resolve().parents[3]
-EVENT_CALL = re.compile(r"log\.write\(\s*\"([a-z_]+)\"", re.MULTILINE)
+EVENT_CALL = re.compile(r"(?:log|self)\.write\(\s*\"([a-z_]+)\"", re.MULTILINE)
 SIGNAL_EVENT = re.compile(r"log\.write, \"([a-z_]+)\"")
 
 
--- a/foxtailway/sidecar/tests/test_end_to_end.py
+++ b/foxtailway/sidecar/tests/test_end_to_end.py
@@ -5,6 +5,7 @@
 
 from foxtailway.sidecar import node as node_module
 from foxtailway.sidecar import peer_pool
+from foxtailway.sidecar.log import EventLog
 from foxtailway.sidecar.node import SidecarNode, StopTimes, wait_until_idle
 from foxtailway.sidecar.settings import Endpoint, SidecarSettings
 from foxtailway.sidecar.tests.support import (
@@ -24,6 +25,8 @@
     b"GET /x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r-1\r\n"
     b"X-Remaining-Ms: 60000\r\n\r\n"
 )
+# Endpoint on which nothing listens.
+NO_UPSTREAM = Endpoint(address="127.0.0.1", port=1)
 STOP_TIMES = StopTimes(go_away_s=0.0, close_idle_s=0.0, end_s=2 * LONG_TIMEOUT_S)
 
 
@@ -51,6 +54,21 @@
     )
 
 
+def make_node(
+    address: str,
+    log: EventLog,
+    upstream: Endpoint = NO_UPSTREAM,
+) -> SidecarNode:
+    """Return a node that is not started."""
+    return SidecarNode(
+        settings=make_settings(address, upstream),
+        names=NAMES,
+        ready_path="/ready",
+        log=log,
+        random_source=Random(1),
+    )
+
+
 class EndToEndTest(IsolatedAsyncioTestCase):
     """Requests through two sidecars on two loopback addresses to one upstream."""
 
@@ -62,9 +80,7 @@
 
     async def start(self, upstream: ScriptedUpstream) -> None:
         upstream_endpoint = Endpoint(address="127.0.0.2", port=upstream.port)
-        self.entry_node = await self.start_node(
-            "127.0.0.1", Endpoint(address="127.0.0.1", port=1)
-        )
+        self.entry_node = await self.start_node("127.0.0.1", NO_UPSTREAM)
         self.upstream_node = await self.start_node("127.0.0.2", upstream_endpoint)
         self.upstream_node.runner.pool.address = "127.0.0.1"
         port = self.upstream_node.peer_listener.server.sockets[0].getsockname()[1]
@@ -81,13 +97,7 @@
             node.apply(configuration)
 
     async def start_node(self, address: str, upstream: Endpoint) -> SidecarNode:
-        node = SidecarNode(
-            settings=make_settings(address, upstream),
-            names=NAMES,
-            ready_path="/ready",
-            log=make_log(),
-            random_source=Random(1),
-        )
+        node = make_node(address, make_log(), upstream)
         await node.start()
         self.addAsyncCleanup(node.exit_stack.aclose)
         return node
--- a/foxtailway/sidecar/tests/test_http_listener.py
+++ b/foxtailway/sidecar/tests/test_http_listener.py
@@ -3,7 +3,7 @@
 
 from foxtailway.sidecar.http_listener import HttpListener, RequestHandler
 from foxtailway.sidecar.http_message import ClientRequest, Response
-from foxtailway.sidecar.tests.support import NAMES, wait_until
+from foxtailway.sidecar.tests.support import NAMES, make_log, wait_until
 from foxtailway.traffic.configuration import ClientLimits
 
 REQUEST = (
@@ -33,7 +33,7 @@
 class HttpListenerTest(IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.handler = RecordingHandler()
-        self.listener = HttpListener(handler=self.handler, names=NAMES)
+        self.listener = HttpListener(handler=self.handler, names=NAMES, log=make_log())
         await self.listener.listen(address="127.0.0.1", port=0)
         self.addCleanup(self.listener.close)
         port = self.listener.server.sockets[0].getsockname()[1]
--- a/foxtailway/sidecar/update_exchange.py
+++ b/foxtailway/sidecar/update_exchange.py
@@ -396,6 +396,8 @@
         """Apply a configuration if it is newer than the current one."""
         if configuration.version <= self.version:
             return
+        # A version that can't be applied is not known, so that it is applied again.
+        self.apply(configuration)
         self.configuration = configuration
         self.packed_changes.clear()
         self.recent[configuration.version] = configuration
@@ -403,7 +405,6 @@
         if len(self.recent) > N_RECENT_CONFIGURATIONS:
             oldest_version = next(iter(self.recent))
             del self.recent[oldest_version], self.applied_at[oldest_version]
-        self.apply(configuration)
 
     def log_changes(self, change: RegistryChange) -> None:
         """Log the upstreams that are added, removed or in a new state."""
