Send the first listing of a reader on request only

After a power loss all nodes list the store, many of them consider themselves readers for a moment, and each now sent its whole listing, about 90 KB with all routes, to every other node. Ruled out: the store, the choice of upstreams. Calls to the store that timed out also left an unread error behind.

Change: an update without content takes the place of the first listing; a node that lacks it requests it. The test failed before.

--- a/foxtailway/platform/store.py
+++ b/foxtailway/platform/store.py
@@ -234,17 +234,16 @@
     loop = asyncio.get_running_loop()
     started_at = loop.time()
     ends_at = started_at + timeout_s + TRANSFER_TIMEOUT_S
-    while not exchange.done():
-        silent_since = max(started_at, connection.received_at)
-        timeout_at = min(ends_at, silent_since + timeout_s)
-        if loop.time() >= timeout_at:
-            raise TimeoutError
-        try:
+    try:
+        while not exchange.done():
+            silent_since = max(started_at, connection.received_at)
+            timeout_at = min(ends_at, silent_since + timeout_s)
+            if loop.time() >= timeout_at:
+                raise TimeoutError
             await asyncio.wait((exchange,), timeout=timeout_at - loop.time())
-        except asyncio.CancelledError:
-            exchange.cancel()
-            raise
-    return exchange.result()
+        return exchange.result()
+    finally:
+        exchange.cancel()
 
 
 def decode_page(body: dict[str, Any]) -> StorePage:
--- a/foxtailway/sidecar/tests/test_update_exchange.py
+++ b/foxtailway/sidecar/tests/test_update_exchange.py
@@ -221,6 +221,24 @@
         self.assertEqual(new_node.exchange.version, 1)
         self.assertEqual(len(new_node.membership.upstreams), N_HOSTS)
 
+    async def test_first_listing_of_a_reader_is_sent_on_request_only(self) -> None:
+        """Load pattern: all hosts start at once, and many are readers for a moment."""
+        restarted = Node(self.reader.address, self.network)
+        self.network.nodes[restarted.address] = restarted
+        behind = next(node for node in self.nodes if node is not self.reader)
+        behind.exchange.listing_requested_at = float("-inf")
+        behind.exchange.revision = 9
+        restarted.roles.preferred_confirmed_at = float("-inf")
+        restarted.exchange.publish_change(
+            make_change(None, 10, upstreams=UPSTREAMS, version=1), age_s=0.0
+        )
+        self.assertEqual(self.network.requests, [behind.address])
+        self.assertEqual(behind.exchange.revision, 10)
+        # Only the node that is behind receives the upstreams, and none the routes.
+        listing = pack(MembershipChange(upstreams=UPSTREAMS))
+        self.assertEqual(self.network.n_bytes, len(listing))
+        self.assertGreaterEqual(len(self.network.deliveries), N_HOSTS - 1)
+
     async def test_requests_for_a_listing_are_rate_limited(self) -> None:
         exchange = UpdateExchange(
             address="10.0.0.99",
--- a/foxtailway/sidecar/update_exchange.py
+++ b/foxtailway/sidecar/update_exchange.py
@@ -165,7 +165,14 @@
     def make_change_update(
         self, change: RegistryChange, previous: TrafficConfiguration | None
     ) -> PeerUpdate:
-        """Return the update for a change that was applied."""
+        """Return the update for a change that was applied.
+
+        The first listing of a node is not sent, since most nodes already have it:
+        after a power loss, many nodes list the store at once, and those that consider
+        themselves readers would fill the links. A node that lacks it requests it.
+        """
+        if change.base_revision is None and previous is None:
+            return self.make_update(base_revision=self.revision)
         packed = b""
         if self.configuration is not previous:
             packed = pack(compare_configurations(previous, self.configuration))
