Answer all requests that were accepted during a planned stop

Cause: closing the port resets the connections that the operating system has queued, and a connection whose first request was on its way counted as idle. Peers avoided a leaving sidecar for 0.5 s only, and then sent requests again until it ended, which were lost as possibly run.

Change: before the port is closed, the queue is accepted; a connection that is younger than 0.3 s isn't idle; the last half second of a stop is for these. A stream with a go-away carries no new calls, and no other is opened before the peer's process has ended.

Seen failing before: the test of a stop under load, with answers that were empty or reset; both new tests of peers.

--- a/foxtailway/sidecar/http_listener.py
+++ b/foxtailway/sidecar/http_listener.py
@@ -1,8 +1,10 @@
 """HTTP/1.1 server for clients of the sidecar."""
 
 import asyncio
+import socket
 from abc import ABC, abstractmethod
 from collections import deque
+from contextlib import suppress
 
 import httptools
 
@@ -27,6 +29,9 @@
 # Margin added to the idle timeout, so that a client which observes the timeout does
 # not send a request on a connection that is being closed.
 IDLE_MARGIN_S = 1.0
+# Time after which a new connection without a request counts as idle. The request of a
+# client that has just connected is on its way.
+NEW_CONNECTION_S = 0.3
 # Bytes of chunk framing and trailers allowed beside the header section of a request.
 MAX_FRAMING_BYTES = 65_536
 # Connections that the operating system queues before they are accepted.
@@ -282,9 +287,17 @@
             self.is_ended = True
             self.transport.close()
 
+    @property
+    def is_active(self) -> bool:
+        """Whether a request is received, processed or probably on its way."""
+        if self.response_task is not None or self.receiving_since is not None:
+            return True
+        age_s = self.loop.time() - self.idle_since
+        return not self.n_requests_read and age_s < NEW_CONNECTION_S
+
     def close_if_idle(self) -> None:
-        """Close the connection if no request is being received or processed."""
-        if self.response_task is None and self.receiving_since is None:
+        """Close the connection unless it is active."""
+        if not self.is_active:
             self.is_ended = True
             self.transport.close()
 
@@ -323,19 +336,38 @@
         self.connections: set[ClientConnection] = set()
         self.is_closing = False
         self.server: asyncio.Server | None = None
+        self.socket: socket.socket | None = None
         self.timeout_timer: asyncio.TimerHandle | None = None
 
     async def listen(self, *, address: str, port: int) -> None:
         """Start to accept connections; raise `OSError` if the port is unavailable."""
-        loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(
-            lambda: ClientConnection(listener=self),
-            address,
-            port,
-            backlog=LISTEN_BACKLOG,
+        self.socket = socket.create_server((address, port), backlog=LISTEN_BACKLOG)
+        self.socket.setblocking(False)
+        self.server = await asyncio.get_running_loop().create_server(
+            self.make_connection, sock=self.socket, backlog=LISTEN_BACKLOG
         )
         self.schedule_timeout_check()
 
+    def make_connection(self) -> ClientConnection:
+        """Return the protocol of a new connection."""
+        return ClientConnection(listener=self)
+
+    async def stop_accepting(self) -> None:
+        """Accept what the operating system has queued, then close the port.
+
+        Closing the port resets the connections in the queue, whose clients may have
+        sent requests.
+        """
+        accepted: list[socket.socket] = []
+        with suppress(BlockingIOError):
+            while True:
+                accepted.append(self.socket.accept()[0])
+        self.server.close()
+        loop = asyncio.get_running_loop()
+        for sock in accepted:
+            sock.setblocking(False)
+            await loop.connect_accepted_socket(self.make_connection, sock)
+
     def schedule_timeout_check(self) -> None:
         """Schedule the next timeout check."""
         self.timeout_timer = asyncio.get_running_loop().call_later(
@@ -354,12 +386,8 @@
 
     @property
     def n_active_connections(self) -> int:
-        """Number of connections on which a request is received or processed."""
-        return sum(
-            connection.response_task is not None
-            or connection.receiving_since is not None
-            for connection in self.connections
-        )
+        """Number of active connections."""
+        return sum(connection.is_active for connection in self.connections)
 
     def close_idle(self) -> None:
         """Close idle connections, and each other one after its next response."""
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -43,6 +43,9 @@
 # Age of the last confirmation at which this node may lack a change that has to be in
 # force, as a share of the time to apply. The rest covers the transit of an update.
 UP_TO_DATE_SHARE = 0.8
+# Part of the time of a shutdown that is reserved for the requests of the connections
+# that were accepted last.
+LAST_REQUESTS_S = 0.5
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -347,7 +350,10 @@
         await asyncio.sleep(times.close_idle_s - times.go_away_s)
         self.client_listener.close_idle()
         self.runner.is_stopping = True
-        await wait_until_idle(lambda: self.n_in_flight, self.dispatcher.ends_at)
+        ends_at = self.dispatcher.ends_at
+        await wait_until_idle(lambda: self.n_in_flight, ends_at - LAST_REQUESTS_S)
+        await self.client_listener.stop_accepting()
+        await wait_until_idle(lambda: self.n_in_flight, ends_at)
         self.tick_timer.cancel()
         await self.exit_stack.aclose()
 
--- a/foxtailway/sidecar/peer_listener.py
+++ b/foxtailway/sidecar/peer_listener.py
@@ -74,6 +74,7 @@
         self.bodies = BodyReceiver(link_mbps=link_mbps)
         self.streams: dict[PeerStream, dict[int, asyncio.Task]] = {}
         self.server: asyncio.Server | None = None
+        self.is_leaving = False
 
     async def listen(self, *, port: int) -> None:
         """Start to accept streams; raise `OSError` if the port is unavailable."""
@@ -90,8 +91,10 @@
         return sum(len(tasks) for tasks in self.streams.values())
 
     def stream_opened(self, stream: PeerStream) -> None:
-        """Register the stream."""
+        """Register the stream; after a go-away, the new peer gets one too."""
         self.streams[stream] = {}
+        if self.is_leaving:
+            stream.send(PeerGoAway(address=self.address))
 
     def stream_lost(self, stream: PeerStream) -> None:
         """Cancel the requests of the stream, since no result can be sent."""
@@ -167,7 +170,8 @@
         return await runner.run(replace(call, body=body))
 
     def send_go_away(self) -> None:
-        """Send a go-away to all connected peers."""
+        """Send a go-away to all peers that are connected or connect from now on."""
+        self.is_leaving = True
         self.broadcast(PeerGoAway(address=self.address))
 
     def broadcast(self, message: object) -> None:
--- a/foxtailway/sidecar/peer_pool.py
+++ b/foxtailway/sidecar/peer_pool.py
@@ -53,7 +53,7 @@
 HEDGE_AFTER_SILENCE_S = 0.4
 # Time without received data after which the stream is closed.
 STREAM_TIMEOUT_S = 1.5
-# Time for which a peer gets no calls after a go-away or a stream timeout.
+# Time for which a peer gets no calls after a stream timeout.
 PEER_AVOIDANCE_S = 0.5
 # Time added to the deadline for the transfer of the response.
 RESPONSE_TRANSIT_SLACK_S = 0.2
@@ -78,6 +78,9 @@
         Monotonic time in seconds until which the peer gets no calls.
     waiting : list of bytes
         Encoded messages that are sent when a stream is open.
+    leaving : set of PeerStream
+        Streams on which the peer sent a go-away. They carry no new calls, and no
+        stream is opened before the process of the peer has ended.
     """
 
     def __init__(self, *, address: str, pool: "PeerPool") -> None:
@@ -90,6 +93,7 @@
         self.connect_task: asyncio.Task | None = None
         self.unavailable_until = float("-inf")
         self.waiting: list[bytes] = []
+        self.leaving: set[PeerStream] = set()
         self.n_connect_failures = 0
         self.probe_timer: asyncio.TimerHandle | None = None
         self.pause_detector = PauseDetector(
@@ -149,7 +153,7 @@
         that no further call waits for an unreachable peer.
         """
         now = self.loop.time()
-        if self.unavailable_until > now:
+        if self.unavailable_until > now or self.leaving:
             return None
         stream = min(
             self.streams, key=lambda item: len(self.streams[item]), default=None
@@ -216,7 +220,7 @@
                 if pending is not None:
                     pending.body.send_part(message.n_bytes)
             case PeerGoAway():
-                self.unavailable_until = self.loop.time() + PEER_AVOIDANCE_S
+                self.leaving.add(stream)
             case PeerCrash():
                 self.pool.guard.record_crash(message.fingerprint, message.upstream_id)
             case PeerListingRequest():
@@ -229,6 +233,7 @@
     def stream_lost(self, stream: PeerStream) -> None:
         """Fail the calls of a stream; those whose body was sent may have run."""
         calls = self.streams.pop(stream, {})
+        self.leaving.discard(stream)
         if calls:
             self.log.write("peer_stream_lost", peer=self.address, n_calls=len(calls))
         for pending in calls.values():
--- a/foxtailway/sidecar/tests/test_end_to_end.py
+++ b/foxtailway/sidecar/tests/test_end_to_end.py
@@ -154,6 +154,39 @@
             self.assertIn(b"200 OK", head)
             await stopping
 
+    async def test_stop_under_load_answers_all_accepted_requests(self) -> None:
+        """Load pattern: clients connect and send at any moment of a planned stop."""
+        async with ScriptedUpstream(*[respond()] * 10_000) as upstream:
+            await self.start(upstream)
+            server = self.entry_node.client_listener.server
+            port = server.sockets[0].getsockname()[1]
+            clients = [
+                asyncio.create_task(self.send_until_refused(port, delay_s))
+                for delay_s in (0.0, 0.0, 0.001, 0.005, 0.02) * 4
+            ]
+            await asyncio.sleep(0.05)
+            stop_times = StopTimes(go_away_s=0.05, close_idle_s=0.1, end_s=2.0)
+            await self.entry_node.stop(stop_times)
+            answers = [line for task in clients for line in await task]
+        self.assertGreater(len(answers), len(clients))
+        self.assertEqual(set(answers) - {b"HTTP/1.1 200", b"HTTP/1.1 503"}, set())
+
+    async def send_until_refused(self, port: int, delay_s: float) -> list[bytes]:
+        """Send one request a connection and return the starts of the answers."""
+        answers = []
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            except ConnectionError:
+                return answers
+            await asyncio.sleep(delay_s)
+            try:
+                writer.write(REQUEST.replace(b"Host", b"Connection: close\r\nHost"))
+                answers.append((await reader.read())[:12])
+            except ConnectionError as error:
+                answers.append(repr(error).encode())
+            writer.close()
+
     async def test_client_disconnect_frees_the_slot(self) -> None:
         async with ScriptedUpstream(respond_after(asyncio.Event())) as upstream:
             await self.start(upstream)
--- a/foxtailway/sidecar/tests/test_peers.py
+++ b/foxtailway/sidecar/tests/test_peers.py
@@ -178,13 +178,29 @@
         task = self.start_call()
         await wait_until(lambda: bool(self.runner.calls))
         self.listener.send_go_away()
-        now = asyncio.get_running_loop().time
-        await wait_until(lambda: self.link.unavailable_until > now())
+        await wait_until(lambda: bool(self.link.leaving))
         refused = await self.start_call()
         self.assertIs(refused.outcome, Outcome.NOT_RUN)
         self.runner.released.set()
         self.assertIsInstance(await task, UpstreamResponse)
 
+    async def test_new_stream_to_a_leaving_peer_gets_a_go_away(self) -> None:
+        self.listener.send_go_away()
+        await self.pool.get_link("127.0.0.1").acquire_stream()
+        await wait_until(lambda: bool(self.link.leaving))
+        self.assertIs((await self.start_call()).outcome, Outcome.NOT_RUN)
+
+    async def test_peer_is_available_after_its_process_has_ended(self) -> None:
+        await self.pool.get_link("127.0.0.1").acquire_stream()
+        self.listener.send_go_away()
+        await wait_until(lambda: bool(self.link.leaving))
+        self.listener.is_leaving = False
+        for stream in list(self.listener.streams):
+            stream.close()
+        await wait_until(lambda: not self.link.streams)
+        self.runner.released.set()
+        self.assertIsInstance(await self.start_call(), UpstreamResponse)
+
     async def test_silent_peer_is_reported_before_its_calls_fail(self) -> None:
         silent_peers: list[str] = []
         idempotent_call = self.start_call(
