--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,10 @@
 DEPLOYMENT ?= pondside
+MINUTES ?= 1
 PYTHON ?= python3.11
 VENV := .venv
 STAMP := $(VENV)/.installed
 
-.PHONY: install test demo bench format
+.PHONY: install test demo bench format fuzz
 
 install: $(STAMP)
 
@@ -24,5 +25,8 @@
 demo: install
 	$(VENV)/bin/python -m examples.demo --deployment $(DEPLOYMENT)
 
+fuzz: install
+	$(VENV)/bin/python -m foxtailway.testing.decoder_fuzzing --minutes $(MINUTES)
+
 bench: install
 	$(VENV)/bin/python -m benchmarks
--- a/foxtailway/explain/cause.py
+++ b/foxtailway/explain/cause.py
@@ -54,9 +54,11 @@
     fields = refusal.fields
     reason = str(fields.get("reason", refusal.event))
     requested_url = f"{fields.get('host_header', '')}{fields.get('target', '')}"
-    reason_text = REASON_TEXTS.get(reason, reason).format(
-        version=fields.get("version"), requested_url=requested_url
-    )
+    reason_text = reason
+    if reason in REASON_TEXTS:
+        reason_text = REASON_TEXTS[reason].format(
+            version=fields.get("version"), requested_url=requested_url
+        )
     if is_refused_by_upstream(refusal):
         reason_text = "the last upstream that was asked refused it"
     attempts = [event for event in events if event.event == "not_answered"]
--- a/foxtailway/explain/tests/test_explain.py
+++ b/foxtailway/explain/tests/test_explain.py
@@ -113,6 +113,10 @@
         parsed_log = read_events(lines)
         self.assertEqual((parsed_log.events, parsed_log.n_unreadable), ((), 6))
 
+    def test_reason_with_braces_is_shown_as_it_is(self) -> None:
+        line = make_line("refused", request_id="r-6", status=503, reason="{x}")
+        self.assertIn("{x}", find_cause(read_events([line]).events))
+
     def test_events_outside_the_window_are_left_out(self) -> None:
         _, text = self.explain("--since", "1.8")
         self.assertIn("overloaded", text)
--- a/foxtailway/platform/store.py
+++ b/foxtailway/platform/store.py
@@ -30,6 +30,7 @@
 # takes seconds, and a call that is repeated in the middle would never end.
 TRANSFER_TIMEOUT_S = 10.0
 CALL_ERRORS = (
+    AttributeError,
     ExchangeError,
     TimeoutError,
     ValueError,
--- a/foxtailway/platform/tests/test_store_watcher.py
+++ b/foxtailway/platform/tests/test_store_watcher.py
@@ -2,7 +2,7 @@
 from contextlib import suppress
 from random import Random
 from unittest import IsolatedAsyncioTestCase
-from unittest.mock import DEFAULT, patch
+from unittest.mock import DEFAULT, AsyncMock, patch
 
 import msgpack
 
@@ -370,6 +370,19 @@
             async with asyncio.timeout(LONG_TIMEOUT_S):
                 await wait_until(lambda: node.versions == [3, 4])
 
+    async def test_item_that_is_no_table_counts_as_an_outage(self) -> None:
+        """Found by fuzzing: the error reached the watcher, which then ended."""
+        await self.start()
+        body = msgpack.packb({"events": ["0"], "store_revision": 99})
+        handle = self.store.handle
+        self.store.handle = AsyncMock(return_value=Response(status=200, body=body))
+        self.store.put("servers/u-9", make_entry())
+        async with asyncio.timeout(LONG_TIMEOUT_S):
+            await wait_until(lambda: self.watcher.outage_started_at is not None)
+            self.store.handle = handle
+            await wait_until(lambda: self.n_ready == 6)
+        self.assertEqual(self.node.log.n_errors, 0)
+
     async def test_long_outage_ends_with_a_listing(self) -> None:
         await self.start()
         self.store.status = 503
--- a/foxtailway/sidecar/peer_stream.py
+++ b/foxtailway/sidecar/peer_stream.py
@@ -27,6 +27,8 @@
 N_KEEPALIVE_PROBES = 2
 # Time for which sent data may stay unacknowledged.
 USER_TIMEOUT_MS = 3_000
+# Errors of bytes that are no messages.
+STREAM_ERRORS = (FieldError, msgpack.UnpackException, ValueError)
 
 
 def make_peer_codec() -> MessageSchemas:
@@ -101,7 +103,7 @@
             self.unpacker.feed(data)
             for packed in self.unpacker:
                 self.handler.message_received(self, self.codec.build(packed))
-        except (FieldError, msgpack.UnpackException, ValueError) as error:
+        except STREAM_ERRORS as error:
             self.log.write("peer_stream_malformed", peer=self.peer, error=error)
             self.close()
 
