Answer what was read before unreadable bytes, and pass on no empty promise

Cause: found by reading. An unreadable request closed the connection at once, so that the request in progress before it got no answer. A 408, 421, 429 or 503 of an upstream was passed on without the header that says that nothing ran; clients repeat after these. Of several Connection headers only the last one counted, and none in responses. The slot of a caller that had just left was freed without admitting the next request. An address that can't be resolved ended the task that connects to a peer, without a backoff.

Change: earlier requests are answered first. Such a promise becomes 502 for a request that must not run twice. One function selects end-to-end headers; what the mesh relies on is never dropped. A freed slot goes to the next in the queue. A listing counts as use of the connection to the store.

--- a/foxtailway/platform/store_watcher.py
+++ b/foxtailway/platform/store_watcher.py
@@ -181,6 +181,7 @@
             if not page.has_more or not page.items:
                 break
             after = page.items[-1].key
+        self.last_call_at = self.loop.time()
         self.record_success()
         self.is_listing_needed = False
         age_s = read_boot_time() - requested_at
--- a/foxtailway/sidecar/dispatcher.py
+++ b/foxtailway/sidecar/dispatcher.py
@@ -32,6 +32,8 @@
 }
 # Statuses of requests that may have run; 502 for all other reasons.
 UNKNOWN_STATUSES = {RefusalReason.EXPIRED: 504}
+# Statuses after which clients repeat any request: they promise that it didn't run.
+PROMISE_STATUSES = frozenset({408, 421, 429, 503})
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 
@@ -138,6 +140,10 @@
                 request, routed.service, result, started_at
             )
         status = result.response.status
+        if status in PROMISE_STATUSES and not routed.route.is_idempotent:
+            # Without the header that says so, the request may have run.
+            lost = make_refusal(RefusalReason.LOST, Outcome.UNKNOWN)
+            return self.respond_with_refusal(request, routed.service, lost, started_at)
         self.metrics.count_response(
             routed.service, status, self.loop.time() - started_at
         )
--- a/foxtailway/sidecar/http_listener.py
+++ b/foxtailway/sidecar/http_listener.py
@@ -15,6 +15,7 @@
     Response,
     encode_headers,
     encode_response,
+    select_end_to_end,
 )
 from foxtailway.sidecar.log import EventLog
 from foxtailway.traffic.configuration import ClientLimits
@@ -64,6 +65,8 @@
     ----------
     is_ended : bool
         Whether further data of the client is ignored.
+    rejection : Response or None
+        Response to an unreadable request, written after those to earlier ones.
     receiving_since : float or None
         Monotonic time in seconds at which the first byte of an incomplete request
         was received; None when there is no incomplete request.
@@ -80,6 +83,7 @@
         self.queue: deque[tuple[ClientRequest, bool]] = deque()
         self.response_task: asyncio.Task | None = None
         self.is_ended = False
+        self.rejection: Response | None = None
         self.n_header_bytes = 0
         self.meter = HeadMeter()
         self.n_requests_read = 0
@@ -180,34 +184,21 @@
     def build_request(self) -> ClientRequest:
         """Return the parsed request without its hop-by-hop headers."""
         names = self.listener.names
-        excluded = self.listener.excluded_headers
         host = request_id = b""
         remaining_ms_value: bytes | None = None
-        forwarded: list[tuple[bytes, bytes]] = []
-        connection_tokens: list[bytes] = []
-        for pair in self.headers:
-            lower_name = pair[0].lower()
+        for name, value in self.headers:
+            lower_name = name.lower()
             if lower_name == names.remaining_ms:
-                remaining_ms_value = pair[1]
-            elif lower_name in excluded:
-                if lower_name == b"connection":
-                    connection_tokens = [
-                        token.strip() for token in pair[1].lower().split(b",")
-                    ]
-            else:
-                if lower_name == b"host":
-                    host = pair[1]
-                elif lower_name == names.request_id:
-                    request_id = pair[1]
-                forwarded.append(pair)
-        if (
-            connection_tokens
-            and connection_tokens != [b"keep-alive"]
-            and connection_tokens != [b"close"]
-        ):
-            forwarded = [
-                pair for pair in forwarded if pair[0].lower() not in connection_tokens
-            ]
+                remaining_ms_value = value
+            elif lower_name == b"host":
+                host = value
+            elif lower_name == names.request_id:
+                request_id = value
+        forwarded = select_end_to_end(
+            self.headers,
+            excluded=self.listener.excluded_headers,
+            kept=self.listener.kept_headers,
+        )
         return ClientRequest(
             method=self.parser.get_method().decode("latin-1"),
             target=self.url.decode("latin-1"),
@@ -230,6 +221,8 @@
                     self.queue.clear()
                     return
                 self.transport.resume_reading()
+            if self.rejection is not None:
+                self.write(self.rejection, False, True)
         except Exception as error:
             self.listener.log.write_error("respond", error)
             self.is_ended = True
@@ -260,8 +253,7 @@
     def reject(self, response: Response) -> None:
         """Respond to an unreadable request and close the connection.
 
-        While an earlier request is in progress, the connection is closed without
-        a response, since responses are written in order.
+        The requests that were read before it are answered first.
         """
         if self.is_ended:
             return
@@ -269,7 +261,7 @@
         if self.response_task is None:
             self.write(response, False, True)
         else:
-            self.transport.close()
+            self.rejection = response
 
     def close_expired(self, now: float) -> None:
         """Close the connection if its header or idle timeout has expired."""
@@ -332,7 +324,9 @@
         self.excluded_headers = CONNECTION_HEADERS | {
             names.caller,
             names.expected_upstream,
+            names.remaining_ms,
         }
+        self.kept_headers = frozenset({b"host", names.request_id})
         self.connections: set[ClientConnection] = set()
         self.is_closing = False
         self.server: asyncio.Server | None = None
--- a/foxtailway/sidecar/http_message.py
+++ b/foxtailway/sidecar/http_message.py
@@ -1,6 +1,6 @@
 """HTTP messages as the sidecar forwards them."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence, Set
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
@@ -14,6 +14,7 @@
     "encode_headers",
     "encode_request",
     "encode_response",
+    "select_end_to_end",
 ]
 
 # Hop-by-hop header names in bytes, since the sidecar does not decode header names.
@@ -117,6 +118,43 @@
     return b"".join([b"%b: %b\r\n" % pair for pair in headers])
 
 
+def select_end_to_end(
+    headers: Sequence[tuple[bytes, bytes]],
+    *,
+    excluded: Set[bytes] = CONNECTION_HEADERS,
+    kept: Set[bytes] = frozenset(),
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers that are forwarded.
+
+    Parameters
+    ----------
+    headers : sequence of tuple of bytes
+        Pairs of name and value.
+    excluded : set of bytes, default=CONNECTION_HEADERS
+        Lower-case names of headers that are not forwarded.
+    kept : set of bytes, default=frozenset()
+        Lower-case names of headers that are forwarded even if a ``Connection`` header
+        names them, since the mesh relies on them.
+
+    Examples
+    --------
+    >>> select_end_to_end([(b"Connection", b"A"), (b"A", b"1"), (b"B", b"2")])
+    [(b'B', b'2')]
+    """
+    dropped = {
+        token.strip()
+        for name, value in headers
+        if name.lower() == b"connection"
+        for token in value.lower().split(b",")
+    }
+    dropped -= kept
+    return [
+        pair
+        for pair in headers
+        if (name := pair[0].lower()) not in excluded and name not in dropped
+    ]
+
+
 def encode_request(method: str, target: str, head: bytes, body: bytes) -> bytes:
     """Return an encoded request; ``Content-Length`` is added where required."""
     start_line = f"{method} {target} HTTP/1.1\r\n".encode("latin-1")
--- a/foxtailway/sidecar/peer_pool.py
+++ b/foxtailway/sidecar/peer_pool.py
@@ -185,7 +185,8 @@
                     self.address,
                     self.pool.port,
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, ValueError) as error:
+            # An entry of the registry may hold an address that can't be resolved.
             if not self.streams:
                 self.waiting.clear()
                 self.unavailable_until = self.loop.time() + self.compute_backoff()
--- a/foxtailway/sidecar/request_attempts.py
+++ b/foxtailway/sidecar/request_attempts.py
@@ -231,6 +231,10 @@
         return self.consume_retry_budget(budget_share)
 
 
-def make_refusal(reason: RefusalReason) -> CallRefusal:
-    """Return the refusal of a request that was not sent to any upstream."""
-    return CallRefusal(outcome=Outcome.NOT_RUN, reason=reason)
+def make_refusal(
+    reason: RefusalReason, outcome: Outcome = Outcome.NOT_RUN
+) -> CallRefusal:
+    """Return the refusal of a request; one that may have run was offered."""
+    return CallRefusal(
+        outcome=outcome, reason=reason, is_offered=outcome is not Outcome.NOT_RUN
+    )
--- a/foxtailway/sidecar/tests/test_dispatcher.py
+++ b/foxtailway/sidecar/tests/test_dispatcher.py
@@ -10,6 +10,7 @@
     CallRefusal,
     CallResult,
     UpstreamCall,
+    UpstreamResponse,
 )
 from foxtailway.sidecar.crash_guard import CrashGuard
 from foxtailway.sidecar.dispatcher import RequestDispatcher
@@ -115,6 +116,20 @@
         self.configure()
         self.assertEqual((await self.handle(host="b.example")).status, 404)
 
+    async def test_promise_of_an_upstream_without_its_header_is_not_passed_on(
+        self,
+    ) -> None:
+        for status in (408, 421, 429, 503):
+            promise = UpstreamResponse(
+                response=Response(status=status, head=b"X-Seal: s\r\n"),
+                run_time_s=0.01,
+                load=None,
+            )
+            with self.subTest(status):
+                self.configure(is_idempotent=False)
+                response = await self.handle(promise)
+                self.assertEqual((response.status, response.head), (502, b""))
+
     async def test_caller_is_set_by_the_node(self) -> None:
         self.configure()
         await self.handle(SUCCESS)
--- a/foxtailway/sidecar/tests/test_http_listener.py
+++ b/foxtailway/sidecar/tests/test_http_listener.py
@@ -87,6 +87,27 @@
         self.assertIn(b" 400 ", head)
         self.assertEqual(self.handler.requests, [])
 
+    async def test_requests_before_an_unreadable_one_are_answered(self) -> None:
+        self.handler.released.clear()
+        self.writer.write(REQUEST + REQUEST)
+        await wait_until(lambda: bool(self.handler.requests))
+        self.writer.write(b"\x00\x01\r\n\r\n")
+        connection = next(iter(self.listener.connections))
+        await wait_until(lambda: connection.is_ended)
+        self.handler.released.set()
+        for status in (b" 200 ", b" 200 ", b" 400 "):
+            head, _ = await self.read_response()
+            self.assertIn(status, head)
+        self.assertEqual(await self.reader.read(), b"")
+
+    async def test_headers_named_by_any_connection_header_are_dropped(self) -> None:
+        self.writer.write(
+            b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: X-One\r\n"
+            b"Connection: keep-alive, X-Two, Host\r\nX-One: 1\r\nX-Two: 2\r\n\r\n"
+        )
+        await self.read_response()
+        self.assertEqual(self.handler.requests[0].head, b"Host: a\r\n")
+
     async def test_large_headers_are_rejected(self) -> None:
         self.listener.limits = ClientLimits(max_header_size=100)
         self.writer.write(b"GET /x HTTP/1.1\r\nA: " + b"b" * 200)
--- a/foxtailway/sidecar/tests/test_upstream_runner.py
+++ b/foxtailway/sidecar/tests/test_upstream_runner.py
@@ -72,6 +72,25 @@
         self.assertNotIn(b"Content-Length", result.response.head)
         self.assertIsNotNone(result.load)
 
+    async def test_headers_named_by_the_connection_header_are_dropped(self) -> None:
+        script = respond(extra="Connection: X-Hop, X-Seal\r\nX-Hop: 1\r\n")
+        async with ScriptedUpstream(script) as upstream:
+            result = await self.run_call(self.make_runner(upstream))
+        self.assertIn(b"X-Seal: s\r\n", result.response.head)
+        self.assertNotIn(b"X-Hop", result.response.head)
+
+    async def test_slot_of_a_caller_that_has_left_goes_to_the_next_one(self) -> None:
+        async with ScriptedUpstream(respond()) as upstream:
+            runner = self.make_runner(upstream)
+            runner.queue.n_running = 1
+            tasks = [asyncio.create_task(self.run_call(runner)) for _ in range(2)]
+            await wait_until(lambda: len(runner.waiters) == 2)
+            tasks[0].cancel()
+            runner.release_slot()
+            async with asyncio.timeout(LONG_TIMEOUT_S / 4):
+                result = await tasks[1]
+        self.assertIsInstance(result, UpstreamResponse)
+
     async def test_upstream_receives_its_identifier_and_the_remaining_time(
         self,
     ) -> None:
--- a/foxtailway/sidecar/upstream_runner.py
+++ b/foxtailway/sidecar/upstream_runner.py
@@ -19,11 +19,11 @@
     ResponseLimitError,
 )
 from foxtailway.sidecar.http_message import (
-    CONNECTION_HEADERS,
     HeaderNames,
     Response,
     encode_headers,
     encode_request,
+    select_end_to_end,
 )
 from foxtailway.sidecar.log import EventLog
 from foxtailway.sidecar.upstream_pool import UpstreamPool
@@ -93,6 +93,7 @@
         self.crash_checks: set[asyncio.Task] = set()
         self.replaced_at_by_id: dict[str, float] = {}
         self.names = names
+        self.kept_headers = frozenset({names.request_id, names.seal})
         self.pool = pool
         self.membership = membership
         self.log = log
@@ -202,7 +203,7 @@
         if waiter is not None and not waiter.done():
             waiter.set_result(is_admitted)
         elif is_admitted:
-            self.queue.release()
+            self.release_slot()
 
     def release_slot(self) -> None:
         """Release a slot and admit the next queued request."""
@@ -363,9 +364,7 @@
             response=Response(
                 status=received.status,
                 head=encode_headers(
-                    pair
-                    for pair in received.headers
-                    if pair[0].lower() not in CONNECTION_HEADERS
+                    select_end_to_end(received.headers, kept=self.kept_headers)
                 ),
                 body=received.body,
             ),
