Measure a request that returns by its first attempt

Cause: during an overload most requests are refused once and return after 0.1 s with a new identifier. They counted as new, so that the slots were given to requests that could only be late for their clients.

Change: an entry remembers requests that failed, by route, target and the client's deadline. One that returns is due when its first attempt was, so that it waits behind those that can be in time.

--- a/foxtailway/sidecar/dispatcher.py
+++ b/foxtailway/sidecar/dispatcher.py
@@ -15,6 +15,7 @@
 from foxtailway.sidecar.request_attempts import RequestAttempts, make_refusal
 from foxtailway.sidecar.routed_request import RoutedRequest
 from foxtailway.traffic.configuration import TrafficConfiguration
+from foxtailway.traffic.failed_requests import FailedRequests
 from foxtailway.traffic.retry_budget import RetryBudget
 from foxtailway.traffic.route_index import RouteIndex
 from foxtailway.traffic.split import SplitChooser
@@ -102,6 +103,7 @@
         self.route_index = RouteIndex()
         self.split_chooser = SplitChooser(random_source=random_source)
         self.retry_budgets: dict[str, RetryBudget] = {}
+        self.failed_requests = FailedRequests()
         self.ends_at = float("inf")
 
     def apply(self, configuration: TrafficConfiguration) -> None:
@@ -135,6 +137,8 @@
         if isinstance(routed, CallRefusal):
             return self.respond_with_refusal(request, "", routed, started_at)
         result = await self.run_attempts(routed)
+        if isinstance(result, CallRefusal) or result.response.is_server_error:
+            self.record_failure(routed)
         if isinstance(result, CallRefusal):
             return self.respond_with_refusal(
                 request, routed.service, result, started_at
@@ -175,20 +179,38 @@
         if self.guard.is_quarantined(request.method, request.target, request.body):
             return make_refusal(RefusalReason.QUARANTINED)
         now = self.loop.time()
-        remaining_s = route.timeout_s
+        deadline = now + route.timeout_s
+        due_at = now + route.target_latency_s
+        client_deadline = None
         if request.remaining_ms is not None:
-            remaining_s = min(remaining_s, request.remaining_ms / 1000)
-        deadline = now + remaining_s
+            client_deadline = now + request.remaining_ms / 1000
+            deadline = min(deadline, client_deadline)
+            first_due_at = self.failed_requests.pop_due(
+                route.name, request.target, client_deadline
+            )
+            due_at = due_at if first_due_at is None else first_due_at
         if deadline > self.ends_at:
             return make_refusal(RefusalReason.DRAINING)
         return RoutedRequest(
             request=request,
             route=route,
             service=self.split_chooser.choose(route),
-            due_at=now + route.target_latency_s,
+            due_at=due_at,
             deadline=deadline,
+            client_deadline=client_deadline,
         )
 
+    def record_failure(self, routed: RoutedRequest) -> None:
+        """Remember a failed request, which its client may send again."""
+        if routed.client_deadline is not None:
+            self.failed_requests.record(
+                routed.route.name,
+                routed.request.target,
+                due_at=routed.due_at,
+                deadline=routed.client_deadline,
+                now=self.loop.time(),
+            )
+
     async def run_attempts(self, routed: RoutedRequest) -> CallResult:
         """Return the final result of all attempts of a request."""
         budget = self.get_retry_budget(routed.service)
--- a/foxtailway/sidecar/routed_request.py
+++ b/foxtailway/sidecar/routed_request.py
@@ -23,6 +23,9 @@
     due_at, deadline : float
         Monotonic times in seconds: after `due_at` a response is late; at
         `deadline` the timeout of the client or of the route expires.
+    client_deadline : float or None, default=None
+        Monotonic time at which the client stops waiting, in seconds; None if the
+        client did not tell.
     """
 
     request: ClientRequest
@@ -30,3 +33,4 @@
     service: str
     due_at: float
     deadline: float
+    client_deadline: float | None = None
--- a/foxtailway/sidecar/tests/test_dispatcher.py
+++ b/foxtailway/sidecar/tests/test_dispatcher.py
@@ -1,6 +1,7 @@
 import asyncio
 from random import Random
 from unittest import IsolatedAsyncioTestCase
+from unittest.mock import Mock
 
 from foxtailway.common.clock import ManualClock
 from foxtailway.routing.outcome import Outcome, RefusalReason
@@ -130,6 +131,23 @@
                 response = await self.handle(promise)
                 self.assertEqual((response.status, response.head), (502, b""))
 
+    async def test_request_that_returns_is_due_by_its_first_attempt(self) -> None:
+        """Pattern: overload, in which clients return soon after a refusal."""
+        self.configure()
+        loop = self.dispatcher.loop = Mock()
+        loop.time.return_value = asyncio.get_running_loop().time()
+        remaining_ms = int(LONG_TIMEOUT_S * 1000) - 100
+        for failure in (BUSY, FAILED):
+            with self.subTest(failure):
+                self.peers.calls.clear()
+                await self.handle(failure, failure, failure)
+                first_due_at = self.peers.calls[0].due_at
+                loop.time.return_value += 0.1
+                await self.handle(SUCCESS, remaining_ms=remaining_ms)
+                self.assertEqual(self.peers.calls[-1].due_at, first_due_at)
+                await self.handle(SUCCESS)
+                self.assertGreater(self.peers.calls[-1].due_at, first_due_at)
+
     async def test_caller_is_set_by_the_node(self) -> None:
         self.configure()
         await self.handle(SUCCESS)
