Let only common kinds of requests tell which ones are short

The queue lets short requests wait until their deadline, and called a kind short if it runs less than 0.4 of the longest kind. Requests that only test the configuration had ended at their deadline after 1.09 s, so that all others were short: 121 waited for 12 slots (a log of the run times in the queue showed it). One such run also doubled the expected wait of all.

Change: only kinds with a twentieth of the recent requests count, a sample counts up to three times the mean, and the first sample is the first mean.

Seen failing before: 681 of 3,862 lookups in time in the test of that load.

--- a/foxtailway/sidecar/peer_listener.py
+++ b/foxtailway/sidecar/peer_listener.py
@@ -161,7 +161,7 @@
                 message.call_id,
                 call,
                 size=message.body_size,
-                run_time_s=runner.queue.estimate_run_time(call.route),
+                run_time_s=runner.queue.run_times.estimate(call.route),
             )
         finally:
             runner.n_receiving -= 1
--- a/foxtailway/sidecar/upstream_runner.py
+++ b/foxtailway/sidecar/upstream_runner.py
@@ -108,7 +108,7 @@
         return LoadReport(
             n_busy=self.queue.n_busy + self.n_receiving,
             n_slots=self.queue.n_slots,
-            run_time_s=self.queue.mean_run_time_s,
+            run_time_s=self.queue.run_times.mean_s,
         )
 
     async def run(self, call: UpstreamCall) -> CallResult:
@@ -261,7 +261,7 @@
                     connection.refused_ids.add(call.request_id.encode("latin-1"))
                 else:
                     run_time_s = self.loop.time() - started_at
-                    self.queue.record_run_time(call.route, run_time_s)
+                    self.queue.run_times.record(call.route, run_time_s)
             self.pool.release(connection)
             self.release_slot()
 
--- a/foxtailway/traffic/slot_queue.py
+++ b/foxtailway/traffic/slot_queue.py
@@ -2,16 +2,14 @@
 
 from dataclasses import dataclass
 
+from foxtailway.traffic.run_times import RunTimes
+
 __all__ = ["QueuedRequest", "SlotQueue"]
 
-# Run time assumed before the first measurement.
-INITIAL_RUN_TIME_S = 0.05
-# Weight of a new sample in the mean run times.
-RUN_TIME_GAIN = 0.1
 # Share of the time until a request is due within which it is expected to finish; the
 # rest covers the variance of run times.
 ON_TIME_SHARE = 0.8
-# Share of the longest mean run time up to which a kind of request is short. The
+# Share of the longest mean run time of a common kind up to which a kind is short. The
 # utility of a late response is commonly three tenths of that of a timely one; the
 # share is slightly larger.
 SHORT_RUN_SHARE = 0.4
@@ -60,10 +58,8 @@
         Requests that occupy a slot.
     waiting : list of QueuedRequest
         Queued requests, in no particular order.
-    run_times_s : dict of str to float
-        Mean run time of each kind of request, in seconds.
-    mean_run_time_s : float
-        Mean run time of all requests, in seconds.
+    run_times : RunTimes
+        Mean run times of the requests.
 
     Notes
     -----
@@ -81,28 +77,13 @@
         self.n_slots = n_slots
         self.n_running = 0
         self.waiting: list[QueuedRequest] = []
-        self.run_times_s: dict[str, float] = {}
-        self.mean_run_time_s = INITIAL_RUN_TIME_S
+        self.run_times = RunTimes()
 
     @property
     def n_busy(self) -> int:
         """Number of requests that run or wait."""
         return self.n_running + len(self.waiting)
 
-    def estimate_run_time(self, kind: str) -> float:
-        """Return the expected run time of a kind of request, in seconds."""
-        return self.run_times_s.get(kind, self.mean_run_time_s)
-
-    def record_run_time(self, kind: str, run_time_s: float) -> None:
-        """Update the mean run times after a finished request."""
-        mean_s = self.run_times_s.get(kind)
-        self.run_times_s[kind] = (
-            run_time_s
-            if mean_s is None
-            else mean_s + RUN_TIME_GAIN * (run_time_s - mean_s)
-        )
-        self.mean_run_time_s += RUN_TIME_GAIN * (run_time_s - self.mean_run_time_s)
-
     def offer(self, request: QueuedRequest, now: float) -> bool | None:
         """Admit, queue or refuse a request.
 
@@ -131,7 +112,7 @@
             return True
         if not request.can_wait:
             return False
-        run_time_s = self.estimate_run_time(request.kind)
+        run_time_s = self.run_times.estimate(request.kind)
         request.is_late = now + run_time_s > request.due_at
         return self.is_admissible(request, self.count_ahead(request), now)
 
@@ -154,13 +135,13 @@
         time than a timely response to the others. Calls between upstreams are short,
         and refusing one wastes the run that made it.
         """
-        longest_s = max(self.run_times_s.values(), default=0.0)
-        return self.estimate_run_time(request.kind) <= SHORT_RUN_SHARE * longest_s
+        run_time_s = self.run_times.estimate(request.kind)
+        return run_time_s <= SHORT_RUN_SHARE * self.run_times.longest_common_s
 
     def estimate_end(self, request: QueuedRequest, n_ahead: int, now: float) -> float:
         """Return the monotonic time at which a queued request is expected to finish."""
-        wait_s = (n_ahead + 1) * self.mean_run_time_s / max(1, self.n_slots)
-        return now + wait_s + self.estimate_run_time(request.kind)
+        wait_s = (n_ahead + 1) * self.run_times.mean_s / max(1, self.n_slots)
+        return now + wait_s + self.run_times.estimate(request.kind)
 
     def get_sort_key(self, request: QueuedRequest) -> tuple[bool, int, float]:
         """Return the sort key of a waiting request; the smallest is served next."""
--- a/foxtailway/traffic/tests/test_slot_queue.py
+++ b/foxtailway/traffic/tests/test_slot_queue.py
@@ -88,6 +88,24 @@
         self.assertGreater(counts.n_answered, 0.97 * capacity)
         self.assertGreater(counts.n_in_time, 0.97 * counts.n_answered)
 
+    def test_responses_are_timely_beside_rare_long_requests(self) -> None:
+        """A rare kind of request must not make all others count as short.
+
+        Lookups arrive at 1.5 times the rate that the slots can run, and once in a
+        second a request that runs 20 times as long.
+        """
+        lookup_kind = RequestKind(
+            name="lookup", rate=300.0, run_time_s=0.06, due_s=0.25, deadline_s=0.6
+        )
+        probe_kind = RequestKind(
+            name="probe", rate=1.0, run_time_s=1.2, due_s=2.0, deadline_s=3.0
+        )
+        counts = self.simulate(
+            SlotQueue(n_slots=12), (lookup_kind, probe_kind), 20.0, Random(7)
+        )["lookup"]
+        self.assertGreater(counts.n_answered, 0.6 * counts.n_requests)
+        self.assertGreater(counts.n_in_time, 0.95 * counts.n_answered)
+
     def test_short_calls_are_served_alongside_long_requests(self) -> None:
         """Long requests must not cause refusals of short calls between upstreams.
 
@@ -145,7 +163,7 @@
             request, duration_s = finished_run
             counts[kind.name].n_answered += now <= request.deadline
             counts[kind.name].n_in_time += now <= request.due_at
-            queue.record_run_time(request.kind, duration_s)
+            queue.run_times.record(request.kind, duration_s)
             queue.release()
             queue.drop_infeasible(now)
             next_request = queue.admit_next()
@@ -163,7 +181,7 @@
         results = [queue.offer(make_request(), 0.0) for _ in range(100)]
         self.assertIn(None, results)
         self.assertIs(results[-1], False)
-        self.assertLessEqual(len(queue.waiting) * queue.mean_run_time_s / 2, 0.25)
+        self.assertLessEqual(len(queue.waiting) * queue.run_times.mean_s / 2, 0.25)
 
     def test_waiting_request_that_cannot_finish_is_dropped(self) -> None:
         queue = self.make_full()
