Serve clients until the end of a stop where the upstream has left

While fewer than half of the nodes of a zone are ready, clients use all of them, also one that had stopped 1 s before because nothing was in flight.

Change: a node on a host whose upstream is no longer registered will not be started again, so it serves clients until the end of the grace period. One whose upstream lives ends early as before, since it is away for peers meanwhile.

Seen failing before: the new test (the connection is refused). Its fixture now registers an upstream on each host.

--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -341,7 +341,9 @@
         """Shut down gracefully; return when no request is in flight or at the end time.
 
         The readiness check fails at once, but requests are still accepted for a
-        while, since clients and peers need time to notice.
+        while, since clients and peers need time to notice. On a host whose upstream
+        has left, the node serves clients until the end: it won't be started again,
+        and clients use nodes that are not ready while many of a zone are stopped.
         """
         self.is_stopping = True
         self.dispatcher.ends_at = self.loop.time() + times.end_s
@@ -351,20 +353,32 @@
         self.client_listener.close_idle()
         self.runner.is_stopping = True
         ends_at = self.dispatcher.ends_at
-        await wait_until_idle(lambda: self.n_in_flight, ends_at - LAST_REQUESTS_S)
+        await wait_until_idle(
+            lambda: self.n_in_flight > 0 or not self.is_upstream_registered,
+            ends_at - LAST_REQUESTS_S,
+        )
         await self.client_listener.stop_accepting()
-        await wait_until_idle(lambda: self.n_in_flight, ends_at)
+        await wait_until_idle(lambda: self.n_in_flight > 0, ends_at)
         self.tick_timer.cancel()
         await self.exit_stack.aclose()
 
+    @property
+    def is_upstream_registered(self) -> bool:
+        """Whether the registry names an upstream on this host."""
+        address = self.settings.upstream.address
+        return any(
+            upstream.address == address
+            for upstream in self.membership.upstreams.values()
+        )
+
     @property
     def n_in_flight(self) -> int:
         """Number of requests of clients and peers that are in progress."""
         return self.client_listener.n_active_connections + self.peer_listener.n_running
 
 
-async def wait_until_idle(count_in_flight: Callable[[], int], ends_at: float) -> None:
-    """Wait until no request is in flight, at most until `ends_at` (loop time)."""
+async def wait_until_idle(is_busy: Callable[[], bool], ends_at: float) -> None:
+    """Wait until `is_busy` returns False, at most until `ends_at` (loop time)."""
     loop = asyncio.get_running_loop()
-    while count_in_flight() and loop.time() < ends_at:  # noqa: ASYNC110 (no event)
+    while is_busy() and loop.time() < ends_at:  # noqa: ASYNC110 (no event)
         await asyncio.sleep(IDLE_POLL_INTERVAL_S)
--- a/foxtailway/sidecar/tests/test_end_to_end.py
+++ b/foxtailway/sidecar/tests/test_end_to_end.py
@@ -6,7 +6,12 @@
 from foxtailway.sidecar import node as node_module
 from foxtailway.sidecar import peer_pool
 from foxtailway.sidecar.log import EventLog
-from foxtailway.sidecar.node import SidecarNode, StopTimes, wait_until_idle
+from foxtailway.sidecar.node import (
+    IDLE_POLL_INTERVAL_S,
+    SidecarNode,
+    StopTimes,
+    wait_until_idle,
+)
 from foxtailway.sidecar.settings import Endpoint, SidecarSettings
 from foxtailway.sidecar.tests.support import (
     LONG_TIMEOUT_S,
@@ -29,6 +34,9 @@
 NO_UPSTREAM = Endpoint(address="127.0.0.1", port=1)
 STOP_TIMES = StopTimes(go_away_s=0.0, close_idle_s=0.0, end_s=2 * LONG_TIMEOUT_S)
 
+# Upstream on the host of the entry node; it gets no requests in these tests.
+ENTRY_UPSTREAM = make_upstream("u-0", service="desk", address="127.0.0.1")
+
 
 def make_settings(address: str, upstream: Endpoint) -> SidecarSettings:
     """Return settings with ports that the operating system chooses."""
@@ -94,6 +102,7 @@
         )
         for node in (self.entry_node, self.upstream_node):
             node.membership.put(make_upstream("u-1", address="127.0.0.2"))
+            node.membership.put(ENTRY_UPSTREAM)
             node.apply(configuration)
 
     async def start_node(self, address: str, upstream: Endpoint) -> SidecarNode:
@@ -171,6 +180,26 @@
         self.assertGreater(len(answers), len(clients))
         self.assertEqual(set(answers) - {b"HTTP/1.1 200", b"HTTP/1.1 503"}, set())
 
+    async def test_node_whose_upstream_has_left_serves_clients_until_the_end(
+        self,
+    ) -> None:
+        """Load pattern: most hosts of a zone stop, so that clients can't avoid them."""
+        async with ScriptedUpstream(respond()) as upstream:
+            await self.start(upstream)
+            self.entry_node.membership.remove(ENTRY_UPSTREAM.upstream_id, 0.0)
+            stop = asyncio.create_task(self.entry_node.stop(STOP_TIMES))
+            await wait_until(lambda: self.entry_node.client_listener.is_closing)
+            await asyncio.sleep(10 * IDLE_POLL_INTERVAL_S)
+            self.assertEqual(await self.fetch_status(), b"HTTP/1.1 200")
+            self.entry_node.membership.put(ENTRY_UPSTREAM)
+            async with asyncio.timeout(LONG_TIMEOUT_S):
+                await stop
+
+    async def fetch_status(self) -> bytes:
+        """Send a request on a new connection and return the start of the answer."""
+        reader, _ = await self.send()
+        return (await reader.readuntil(b"\r\n\r\n"))[:12]
+
     async def send_until_refused(self, port: int, delay_s: float) -> list[bytes]:
         """Send one request a connection and return the starts of the answers."""
         answers = []
@@ -218,7 +247,7 @@
             patch.object(node_module.asyncio, "sleep", loop.sleep),
             patch.object(node_module.asyncio, "get_running_loop", lambda: loop),
         ):
-            await wait_until_idle(lambda: 1, 2.6)
+            await wait_until_idle(lambda: True, 2.6)
         self.assertLess(
             loop.now,
             2.6 + loop.overshoot_factor * node_module.IDLE_POLL_INTERVAL_S + 0.001,
