Let uploads that return late wait behind timely ones

Change: a body whose response would be late in any case waits behind all others, as in the queue for slots.

Seen failing before: 155 of 485 in time in the test of that load, more than 291 expected.

--- a/foxtailway/traffic/tests/test_transfer_queue.py
+++ b/foxtailway/traffic/tests/test_transfer_queue.py
@@ -150,3 +150,30 @@
         self.assertLess(link.max_delay_s, 2 * WINDOW_S)
         self.assertLess(n_late, 0.02 * n_offered)
         self.assertLess(n_refused, 0.6 * n_offered)
+
+    def test_uploads_that_return_late_wait_behind_timely_ones(self) -> None:
+        """At 1.2 times the bandwidth; clients return 0.2 s after a refusal."""
+        random_source = Random(3)
+        link = SimulatedLink(self.queue)
+        returning: list[tuple[float, BodyTransfer]] = []
+        n_offered = n_timely = 0
+        now = 0.0
+        while now < 20.0:
+            offered = [item for at, item in returning if at <= now]
+            returning = [(at, item) for at, item in returning if at > now]
+            if random_source.random() < STEP_S * 25.0:
+                size = int(random_source.expovariate(1 / 60_000)) + 1
+                offered.append(make_transfer(now, size=size))
+                n_offered += 1
+            for transfer in offered:
+                is_taken = self.queue.offer(transfer, now)
+                if not is_taken and not transfer.is_late:
+                    transfer.due_at -= 1.0
+                    returning.append((now + 0.2, transfer))
+            link.send_grants()
+            for transfer in link.step():
+                is_in_time = now + transfer.run_time_s <= transfer.due_at
+                n_timely += is_in_time and not transfer.is_late
+            link.send_grants()
+            now += STEP_S
+        self.assertGreater(n_timely, 0.6 * n_offered)
--- a/foxtailway/traffic/transfer_queue.py
+++ b/foxtailway/traffic/transfer_queue.py
@@ -34,6 +34,9 @@
         Expected run time of the request, in seconds.
     n_granted, n_received : int, default=0
         Bytes that the sender may send, and those that arrived.
+    is_late : bool, default=False
+        Whether the response would be late even without other transfers; set by
+        `TransferQueue.offer`.
     """
 
     size: int
@@ -43,6 +46,7 @@
     run_time_s: float
     n_granted: int = 0
     n_received: int = 0
+    is_late: bool = False
 
     @property
     def is_complete(self) -> bool:
@@ -68,7 +72,8 @@
     Senders wait for a grant before they send a part of a body. The parts that are
     granted and have not arrived never exceed what the link carries in `WINDOW_S`, so
     that bodies do not delay other traffic by more, however many are on offer. A body
-    that has begun is finished first; then bodies are ordered by priority and due time.
+    that has begun is finished first; then bodies are ordered by priority and due time,
+    those whose response would be late in any case behind all others.
     A body that can't arrive early enough for its request is refused before any of it
     is sent. The argument `now` of the methods is the monotonic time in seconds.
     """
@@ -94,8 +99,8 @@
         answered in time, any other one before its deadline.
         """
         transfer_s = transfer.size / self.bandwidth
-        is_late = now + transfer_s + transfer.run_time_s > transfer.due_at
-        latest_end = transfer.deadline if is_late else transfer.due_at
+        transfer.is_late = now + transfer_s + transfer.run_time_s > transfer.due_at
+        latest_end = transfer.deadline if transfer.is_late else transfer.due_at
         if self.estimate_end(transfer, now) > latest_end:
             return False
         self.transfers.append(transfer)
@@ -112,9 +117,14 @@
         n_bytes = n_ahead + transfer.size - transfer.n_received
         return now + n_bytes / self.bandwidth + transfer.run_time_s
 
-    def get_sort_key(self, transfer: BodyTransfer) -> tuple[bool, int, float]:
+    def get_sort_key(self, transfer: BodyTransfer) -> tuple[bool, bool, int, float]:
         """Return the sort key of a transfer; the smallest is granted next."""
-        return (transfer.n_granted == 0, transfer.priority, transfer.due_at)
+        return (
+            transfer.n_granted == 0,
+            transfer.is_late,
+            transfer.priority,
+            transfer.due_at,
+        )
 
     def make_grants(self) -> list[tuple[BodyTransfer, int]]:
         """Grant the next parts within the window.
