Run requests at an upstream that is not registered yet

Change: a 421 names the upstream that has the address. If it belongs to the service of the registered one, which the settings tell for all upstreams of the host, the request is sent to it, as are the following ones. It is named in the request, so that any other upstream refuses. The 421 proves that nothing ran before.

--- a/benchmarks/http_stack.py
+++ b/benchmarks/http_stack.py
@@ -30,6 +30,7 @@
     remaining_ms=b"x-remaining-ms",
     seal=b"x-seal",
     expected_upstream=b"x-expected",
+    upstream_id=b"x-upstream",
     not_run=b"x-not-run",
     caller=b"x-caller",
 )
--- a/foxtailway/platform/names.py
+++ b/foxtailway/platform/names.py
@@ -13,6 +13,7 @@
     remaining_ms=b"deadline-remaining",
     seal=b"response-seal",
     expected_upstream=b"expect-instance",
+    upstream_id=b"instance-id",
     not_run=b"not-executed",
     caller=b"caller-service",
 )
--- a/foxtailway/sidecar/http_message.py
+++ b/foxtailway/sidecar/http_message.py
@@ -42,6 +42,8 @@
         Signature of an upstream, present on each of its successful responses.
     expected_upstream : bytes
         Identifier of the only upstream that may run the request.
+    upstream_id : bytes
+        Identifier of the upstream itself, on its refusal of a request for another one.
     not_run : bytes
         Present on responses of an upstream that did not run the request.
     caller : bytes
@@ -52,6 +54,7 @@
     remaining_ms: bytes
     seal: bytes
     expected_upstream: bytes
+    upstream_id: bytes
     not_run: bytes
     caller: bytes
 
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -138,6 +138,7 @@
                 limits=ResponseLimits(max_body_size=settings.max_response_size),
                 budget=BufferBudget(max_size=settings.max_buffered_size),
             ),
+            service=settings.service,
             membership=self.membership,
             guard=self.guard,
             on_crash=self.report_crash,
@@ -302,6 +303,7 @@
             max_body_size=settings.max_response_size,
             max_buffered_size=settings.max_buffered_size,
         )
+        self.runner.service = settings.service
         self.membership_changed()
         self.selector.zone = settings.zone
         self.selector.zone_regions = settings.zone_regions
--- a/foxtailway/sidecar/tests/support.py
+++ b/foxtailway/sidecar/tests/support.py
@@ -17,6 +17,7 @@
     remaining_ms=b"x-remaining-ms",
     seal=b"x-seal",
     expected_upstream=b"x-expected",
+    upstream_id=b"x-upstream",
     not_run=b"x-not-run",
     caller=b"x-caller",
 )
--- a/foxtailway/sidecar/tests/test_reported_faults.py
+++ b/foxtailway/sidecar/tests/test_reported_faults.py
@@ -68,6 +68,7 @@
                 port=upstream.port,
                 request_id_header=NAMES.request_id,
             ),
+            service="records",
             membership=membership,
             guard=CrashGuard(host_id="host-1", clock=ManualClock()),
             on_crash=lambda request_fingerprint, upstream_id: None,
--- a/foxtailway/sidecar/tests/test_upstream_runner.py
+++ b/foxtailway/sidecar/tests/test_upstream_runner.py
@@ -43,6 +43,7 @@
                 port=upstream.port,
                 request_id_header=NAMES.request_id,
             ),
+            service="records",
             membership=self.membership,
             guard=CrashGuard(host_id="host-1", clock=ManualClock()),
             on_crash=lambda request_fingerprint, upstream_id: self.crashes.append(
@@ -118,6 +119,37 @@
             other = await self.run_call(runner, upstream_id="u-2")
             self.assertIsInstance(other, UpstreamResponse)
 
+    async def test_request_runs_at_the_upstream_that_is_not_registered_yet(
+        self,
+    ) -> None:
+        """Pattern: all hosts lose power, and the registry lags behind."""
+        replaced = respond(status="421 Other", extra="X-Upstream: u-2\r\n")
+        async with ScriptedUpstream(replaced, respond(), respond()) as upstream:
+            runner = self.make_runner(upstream)
+            for _ in range(2):
+                result = await self.run_call(runner, is_idempotent=False)
+                self.assertIsInstance(result, UpstreamResponse)
+        expected = [
+            line
+            for head in upstream.requests
+            for line in head.split("\r\n")
+            if line.startswith("x-expected")
+        ]
+        self.assertEqual(
+            expected, ["x-expected: u-1", "x-expected: u-2", "x-expected: u-2"]
+        )
+
+    async def test_other_upstream_gets_no_request_of_another_service(self) -> None:
+        replaced = respond(status="421 Other", extra="X-Upstream: u-2\r\n")
+        draining = make_upstream("u-2", state=UpstreamState.DRAINING)
+        for service, upstreams in (("desk", ()), ("records", (draining,))):
+            async with ScriptedUpstream(replaced) as upstream:
+                runner = self.make_runner(upstream)
+                runner.service = service
+                self.membership.update(upstreams, (), 0.0)
+                result = await self.run_call(runner)
+                self.assert_refused(result, Outcome.NOT_RUN, RefusalReason.REPLACED)
+
     async def test_reset_request_may_have_run(self) -> None:
         async with ScriptedUpstream(reset_connection()) as upstream:
             result = await self.run_call(self.make_runner(upstream))
--- a/foxtailway/sidecar/upstream_runner.py
+++ b/foxtailway/sidecar/upstream_runner.py
@@ -58,6 +58,8 @@
         Names of the headers that the mesh interprets.
     pool : UpstreamPool
         Connections to the upstream.
+    service : str
+        Service of the upstream on this host.
     membership : Membership
         Known upstreams.
     guard : CrashGuard
@@ -74,6 +76,8 @@
         Responses of the upstream that exceeded a limit.
     n_receiving : int
         Requests whose bodies are being received; they count as load.
+    running_id : str or None
+        Identifier of the upstream that last responded; None if unknown.
     """
 
     def __init__(
@@ -81,6 +85,7 @@
         *,
         names: HeaderNames,
         pool: UpstreamPool,
+        service: str,
         membership: Membership,
         guard: CrashGuard,
         on_crash: Callable[[str, str], None],
@@ -93,6 +98,8 @@
         self.names = names
         self.kept_headers = frozenset({names.request_id, names.seal})
         self.pool = pool
+        self.service = service
+        self.running_id: str | None = None
         self.membership = membership
         self.log = log
         self.loop = asyncio.get_running_loop()
@@ -112,7 +119,23 @@
         )
 
     async def run(self, call: UpstreamCall) -> CallResult:
-        """Run a request at most once and return its result; waits for a slot."""
+        """Run a request at most once and return its result; waits for a slot.
+
+        If another upstream of the service has the address, the request is sent to
+        that one after the refusal, which proves that it was not run.
+        """
+        result = await self.offer(call)
+        is_replaced = (
+            isinstance(result, CallRefusal)
+            and result.is_offered
+            and result.reason is RefusalReason.REPLACED
+        )
+        if is_replaced and self.find_running_id(call) != call.upstream_id:
+            return await self.offer(call)
+        return result
+
+    async def offer(self, call: UpstreamCall) -> CallResult:
+        """Send a request once when there is a slot and return the result."""
         refusal_reason = self.find_refusal_reason(call)
         if refusal_reason is not None:
             return self.make_refusal(refusal_reason)
@@ -149,6 +172,23 @@
             return RefusalReason.EXPIRED
         return None
 
+    def find_running_id(self, call: UpstreamCall) -> str:
+        """Return the identifier of the upstream that is expected to run a call.
+
+        After a restart, an upstream runs under an identifier that is not registered
+        yet. Requests for the registered one are meant for it if it belongs to the
+        same service, which the settings tell for all upstreams on this host.
+        """
+        registered = self.membership.upstreams.get(call.upstream_id)
+        if (
+            self.running_id is None
+            or registered is None
+            or registered.service != self.service
+            or self.membership.is_leaving(self.running_id)
+        ):
+            return call.upstream_id
+        return self.running_id
+
     def is_replaced(self, upstream_id: str) -> bool:
         """Return whether another upstream recently responded at this address."""
         replaced_at = self.replaced_at_by_id.get(upstream_id)
@@ -247,7 +287,7 @@
             names.remaining_ms,
             max(1, int((call.deadline - started_at) * 1000)),
             names.expected_upstream,
-            call.upstream_id.encode("latin-1"),
+            self.find_running_id(call).encode("latin-1"),
         )
         exchange = connection.request(
             encode_request(call.method, call.target, head, call.body),
@@ -335,10 +375,7 @@
         not come from the upstream.
         """
         if received.status == STATUS_MISDIRECTED_REQUEST:
-            self.replaced_at_by_id[call.upstream_id] = self.loop.time()
-            self.log.write(
-                "upstream_replaced", call.request_id, upstream=call.upstream_id
-            )
+            self.record_replacement(call, received)
             return CallRefusal(
                 outcome=Outcome.NOT_RUN,
                 reason=RefusalReason.REPLACED,
@@ -370,6 +407,21 @@
             load=self.report_load(),
         )
 
+    def record_replacement(
+        self, call: UpstreamCall, received: ReceivedResponse
+    ) -> None:
+        """Record which upstream has the address, from its refusal of a call."""
+        upstream_id = received.find_header(self.names.upstream_id)
+        self.running_id = None if upstream_id is None else upstream_id.decode("latin-1")
+        if self.find_running_id(call) == call.upstream_id:
+            self.replaced_at_by_id[call.upstream_id] = self.loop.time()
+        self.log.write(
+            "upstream_replaced",
+            call.request_id,
+            upstream=call.upstream_id,
+            running=self.running_id,
+        )
+
     def make_refusal(
         self, reason: RefusalReason, *, is_offered: bool = False
     ) -> CallRefusal:
