Get the first configuration from a few nodes of the region

Change: a new node lists the registry only, which tells it its peers. The first nodes of its region in rank, as many as the square root of their number, read the configuration; each other node asks one of them, after 0.5 s the next, and after 1 s the store. A node that is asked before it has one answers as soon as it has.

--- a/foxtailway/platform/store_watcher.py
+++ b/foxtailway/platform/store_watcher.py
@@ -49,6 +49,13 @@
 # Longest pause of a reader before jitter. It is shorter than that of other nodes, which
 # `ReaderTimings` limits, since followers depend on the reader.
 MAX_READER_BACKOFF_S = 0.8
+# Time for which a new node asks the seeds of its region for its first configuration
+# before it reads the store.
+SEED_TIMEOUT_S = 1.0
+# Time after which it asks the next seed.
+SEED_INTERVAL_S = 0.5
+# Interval at which it checks whether it has a configuration.
+SEED_CHECK_INTERVAL_S = 0.02
 # Pause after an unexpected error, which may occur again at once.
 ERROR_PAUSE_S = 0.5
 ALL_KEYS = ""
@@ -70,6 +77,12 @@
     ----------
     is_listing_needed : bool
         Whether all keys have to be listed before changes can be watched.
+    is_started : bool
+        Whether this node has read the configuration from the store once.
+    registry_listed_at : float
+        Monotonic time at which a new node listed the registry, in seconds.
+    n_seed_requests : int
+        Requests for the first configuration that were sent to seeds.
     """
 
     def __init__(
@@ -82,6 +95,9 @@
         self.loop = asyncio.get_running_loop()
         self.decoder = ConfigurationDecoder()
         self.is_listing_needed = True
+        self.is_started = False
+        self.registry_listed_at = float("-inf")
+        self.n_seed_requests = 0
         self.backoff_s = FIRST_BACKOFF_S
         self.outage_started_at: float | None = None
         self.last_call_at = self.loop.time()
@@ -90,7 +106,11 @@
         """Watch the store, or follow a reader, until cancelled."""
         while True:
             try:
-                if self.node.roles.is_following(self.loop.time()):
+                if self.exchange.revision is None:
+                    await self.list_registry()
+                elif self.exchange.configuration is None and not self.is_started:
+                    await self.obtain_configuration()
+                elif self.node.roles.is_following(self.loop.time()):
                     self.follow_reader()
                     await asyncio.sleep(FOLLOWER_CHECK_INTERVAL_S)
                 elif self.is_listing_needed or self.is_backlog_likely():
@@ -163,18 +183,68 @@
             return False
         return self.exchange.count_versions_since(now - STORM_PERIOD_S) > 1
 
-    async def list_all(self) -> None:
-        """List all keys and apply them.
+    async def list_registry(self) -> None:
+        """List and apply the registry, the first step of a new node.
+
+        It tells the node its peers. The configuration is large, and after a power loss
+        all nodes of a region would read it over the link between two regions.
+        """
+        requested_at = read_boot_time()
+        revision, items = await self.list_keys(UPSTREAM_PREFIX)
+        age_s = read_boot_time() - requested_at
+        # Recorded first, so that the node doesn't consider itself a reader for now.
+        self.node.roles.record_listing(self.loop.time() - age_s)
+        self.exchange.publish_change(self.decode_change(None, revision, items), age_s)
+        self.registry_listed_at = self.loop.time()
+
+    async def obtain_configuration(self) -> None:
+        """Ask the seeds of the region for the first configuration, then the store."""
+        waited_s = self.loop.time() - self.registry_listed_at
+        seeds = self.node.roles.seeds
+        if not seeds or waited_s >= SEED_TIMEOUT_S:
+            await self.list_configuration()
+            return
+        n_requests = int(waited_s / SEED_INTERVAL_S) + 1
+        if self.n_seed_requests < n_requests:
+            self.exchange.request_first_listing(
+                seeds[self.n_seed_requests % len(seeds)]
+            )
+            self.n_seed_requests += 1
+        await asyncio.sleep(SEED_CHECK_INTERVAL_S)
 
-        Keys may change between two pages, so changes are watched from the revision of
-        the first page.
+    async def list_configuration(self) -> None:
+        """Read and apply the configuration; the registry has been listed before.
+
+        Changes are watched from the revision of the registry. They include the
+        configuration if there is none yet.
         """
+        _, items = await self.list_keys(CONFIG_KEY)
+        self.is_started = True
+        self.is_listing_needed = False
+        revision = self.exchange.revision
+        age_s = self.loop.time() - self.exchange.up_to_date_at
+        change = self.decode_change(revision, revision, items)
+        self.exchange.publish_change(change, age_s)
+
+    async def list_all(self) -> None:
+        """List all keys and apply them."""
         requested_at = read_boot_time()
+        revision, items = await self.list_keys(ALL_KEYS)
+        self.is_listing_needed = False
+        age_s = read_boot_time() - requested_at
+        self.exchange.publish_change(self.decode_change(None, revision, items), age_s)
+        self.node.roles.record_listing(self.loop.time() - age_s)
+
+    async def list_keys(self, prefix: str) -> tuple[int, list[StoreItem]]:
+        """Return the items with a prefix and the revision from which to watch them.
+
+        Keys may change between two pages, so it is the revision of the first page.
+        """
         revision: int | None = None
         items: list[StoreItem] = []
         after = ""
         while True:
-            page = await self.client.list_page(ALL_KEYS, after)
+            page = await self.client.list_page(prefix, after)
             if revision is None:
                 revision = page.revision
             items.extend(page.items)
@@ -183,10 +253,7 @@
             after = page.items[-1].key
         self.last_call_at = self.loop.time()
         self.record_success()
-        self.is_listing_needed = False
-        age_s = read_boot_time() - requested_at
-        self.exchange.publish_change(self.decode_change(None, revision, items), age_s)
-        self.node.roles.record_listing(self.loop.time() - age_s)
+        return revision, items
 
     async def watch_once(self) -> None:
         """Wait for changes once and apply them."""
--- a/foxtailway/platform/tests/test_store_watcher.py
+++ b/foxtailway/platform/tests/test_store_watcher.py
@@ -27,10 +27,14 @@
 class RecordingPeers:
     def __init__(self) -> None:
         self.updates: list[PeerUpdate] = []
+        self.sent: list[tuple[str, object]] = []
 
     def broadcast(self, _addresses: tuple[str, ...], update: PeerUpdate) -> None:
         self.updates.append(update)
 
+    def send(self, address: str, message: object) -> None:
+        self.sent.append((address, message))
+
 
 class RecordingNode:
     def __init__(self, address: str = "10.0.0.9", link_mbps: float = 100.0) -> None:
@@ -108,6 +112,23 @@
     def n_ready(self) -> int:
         return len(self.node.membership.list_ready("records"))
 
+    async def test_new_node_asks_a_seed_before_it_reads_the_configuration(self) -> None:
+        """Load pattern: all hosts lose power and start at once."""
+        seeds = ("10.0.0.7", "10.0.0.8")
+        with patch.object(store_watcher_module, "SEED_TIMEOUT_S", LONG_TIMEOUT_S):
+            self.node.exchange.on_membership_change = lambda: None
+            self.node.roles.seeds = seeds
+            task = asyncio.create_task(self.watcher.run())
+            self.addAsyncCleanup(self.stop, task)
+            await wait_until(lambda: bool(self.node.peers.sent))
+        address, request = self.node.peers.sent[0]
+        self.assertEqual(address, seeds[0])
+        self.assertEqual(request.address, "10.0.0.9")
+        self.assertEqual(self.node.versions, [])
+        self.assertNotIn("/v1/kv-watch", self.store.calls)
+        with patch.object(store_watcher_module, "SEED_TIMEOUT_S", 0.0):
+            await wait_until(lambda: self.node.versions == [3])
+
     async def test_response_older_than_an_update_reverts_nothing(self) -> None:
         """A reader's update during a watch must not be undone by the watch.
 
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -16,7 +16,7 @@
 from foxtailway.sidecar.log import EventLog
 from foxtailway.sidecar.metrics import MetricsHandler, SidecarMetrics
 from foxtailway.sidecar.peer_listener import PeerListener
-from foxtailway.sidecar.peer_message import PeerCrash
+from foxtailway.sidecar.peer_message import PeerCrash, PeerListingRequest
 from foxtailway.sidecar.peer_pool import PeerPool
 from foxtailway.sidecar.peer_stream import make_peer_codec
 from foxtailway.sidecar.readiness import ReadinessHandler
@@ -151,6 +151,7 @@
             link_mbps=settings.capacity.link_mbps,
             on_update=self.exchange.receive_update,
             on_reader_announcement=self.exchange.receive_announcement,
+            on_listing_request=self.handle_listing_request,
             log=log,
         )
         self.metrics = SidecarMetrics(read_gauges=self.read_gauges)
@@ -314,18 +315,10 @@
             retry_window_s=settings.retry_window_s,
         )
 
-    def handle_listing_request(self, address: str, version: int) -> None:
-        """Send a listing to a sidecar that requested one, unless stopping.
-
-        Parameters
-        ----------
-        address : str
-            Address of the sidecar.
-        version : int
-            Version of its configuration.
-        """
+    def handle_listing_request(self, request: PeerListingRequest) -> None:
+        """Send a listing to a sidecar that requested one, unless stopping."""
         if not self.is_stopping:
-            self.exchange.send_listing(address, version)
+            self.exchange.receive_listing_request(request)
 
     def membership_changed(self) -> None:
         """Update the reader roles and discard the state of removed upstreams."""
--- a/foxtailway/sidecar/peer_listener.py
+++ b/foxtailway/sidecar/peer_listener.py
@@ -13,6 +13,7 @@
     PeerBodyPart,
     PeerCancel,
     PeerGoAway,
+    PeerListingRequest,
     PeerPing,
     PeerPong,
     PeerReaderAnnouncement,
@@ -49,6 +50,8 @@
         back to it.
     on_reader_announcement : callable
         Called with each announcement of a reader of another region.
+    on_listing_request : callable
+        Called with the request of a peer for a listing.
     log : EventLog
         Event log.
     """
@@ -62,10 +65,12 @@
         link_mbps: float,
         on_update: Callable[[PeerUpdate, Callable[[object], None]], None],
         on_reader_announcement: Callable[[PeerReaderAnnouncement], None],
+        on_listing_request: Callable[[PeerListingRequest], None],
         log: EventLog,
     ) -> None:
         self.on_update = on_update
         self.on_reader_announcement = on_reader_announcement
+        self.on_listing_request = on_listing_request
         self.log = log
         self.runner = runner
         self.codec = codec
@@ -117,6 +122,8 @@
                 self.on_update(message, stream.send)
             case PeerReaderAnnouncement():
                 self.on_reader_announcement(message)
+            case PeerListingRequest():
+                self.on_listing_request(message)
             case PeerPing():
                 stream.send(PeerPong(sequence=message.sequence))
             case _:
--- a/foxtailway/sidecar/peer_message.py
+++ b/foxtailway/sidecar/peer_message.py
@@ -244,14 +244,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PeerListingRequest:
-    """Request to a reader for a full listing, sent when changes are missing.
+    """Request for a full listing, to a reader whose changes are missing or to a seed.
 
     Parameters
     ----------
+    address : str
+        Address of the sender, to which the listing is sent.
     version : int
         Version of the configuration of the sender; 0 for none.
     """
 
+    address: str
     version: int
 
 
--- a/foxtailway/sidecar/peer_pool.py
+++ b/foxtailway/sidecar/peer_pool.py
@@ -225,7 +225,7 @@
             case PeerCrash():
                 self.pool.guard.record_crash(message.fingerprint, message.upstream_id)
             case PeerListingRequest():
-                self.pool.on_listing_request(self.address, message.version)
+                self.pool.on_listing_request(message)
             case PeerPong():
                 return
             case _:
@@ -341,8 +341,7 @@
     guard : CrashGuard
         Records the crashes that peers report.
     on_listing_request : callable
-        Called with the address of a peer that requests a listing and the version of
-        its configuration.
+        Called with the request of a peer for a listing.
     log : EventLog
         Event log.
     """
@@ -353,7 +352,7 @@
         port: int,
         codec: MessageSchemas,
         guard: CrashGuard,
-        on_listing_request: Callable[[str, int], None],
+        on_listing_request: Callable[[PeerListingRequest], None],
         log: EventLog,
     ) -> None:
         self.guard = guard
--- a/foxtailway/sidecar/tests/test_peers.py
+++ b/foxtailway/sidecar/tests/test_peers.py
@@ -33,6 +33,7 @@
 from foxtailway.traffic.slot_queue import SlotQueue
 
 LOAD = LoadReport(n_busy=3, n_slots=4, run_time_s=0.05)
+LISTING_REQUEST = PeerListingRequest(address="127.0.0.1", version=7)
 
 
 class BlockingRunner:
@@ -84,24 +85,25 @@
             link_mbps=1_000.0,
             on_update=self.receive_update,
             on_reader_announcement=lambda _message: None,
+            on_listing_request=lambda request: self.listing_requests.append(request),
             log=make_log(),
         )
         await self.listener.listen(port=0)
         self.addCleanup(self.listener.close)
         port = self.listener.server.sockets[0].getsockname()[1]
-        self.listing_requests: list[tuple[str, int]] = []
+        self.listing_requests: list[PeerListingRequest] = []
         self.pool = PeerPool(
             port=port,
             codec=codec,
             guard=self.guard,
-            on_listing_request=lambda *request: self.listing_requests.append(request),
+            on_listing_request=self.listing_requests.append,
             log=make_log(),
         )
         self.addCleanup(self.pool.close)
 
     def receive_update(self, update: PeerUpdate, reply) -> None:
         self.updates.append(update)
-        reply(PeerListingRequest(version=7))
+        reply(LISTING_REQUEST)
 
     def start_call(self, **changes: object) -> asyncio.Task:
         call = make_call(asyncio.get_running_loop().time(), **changes)
@@ -258,7 +260,11 @@
         update = make_update()
         self.pool.send("127.0.0.1", update)
         await wait_until(lambda: self.updates == [update])
-        await wait_until(lambda: self.listing_requests == [("127.0.0.1", 7)])
+        await wait_until(lambda: self.listing_requests == [LISTING_REQUEST])
+
+    async def test_request_for_a_listing_reaches_a_peer(self) -> None:
+        self.pool.send("127.0.0.1", LISTING_REQUEST)
+        await wait_until(lambda: self.listing_requests == [LISTING_REQUEST])
 
     async def test_messages_wait_for_the_first_stream(self) -> None:
         """The first updates of a new reader must reach the nodes it has no stream to.
--- a/foxtailway/sidecar/tests/test_update_exchange.py
+++ b/foxtailway/sidecar/tests/test_update_exchange.py
@@ -56,10 +56,15 @@
         self.n_bytes = 0
 
     def deliver(
-        self, address: str, update: PeerUpdate | PeerReaderAnnouncement
+        self,
+        address: str,
+        update: PeerUpdate | PeerReaderAnnouncement | PeerListingRequest,
     ) -> None:
         if address in self.unreachable:
             return
+        if isinstance(update, PeerListingRequest):
+            self.nodes[address].exchange.receive_listing_request(update)
+            return
         if isinstance(update, PeerReaderAnnouncement):
             self.nodes[address].exchange.receive_announcement(update)
             return
@@ -221,6 +226,20 @@
         self.assertEqual(new_node.exchange.version, 1)
         self.assertEqual(len(new_node.membership.upstreams), N_HOSTS)
 
+    async def test_seed_answers_as_soon_as_it_has_a_configuration(self) -> None:
+        """Load pattern: all hosts lose power and start at once."""
+        seed, new_node = (Node(address, self.network) for address in ADDRESSES[:2])
+        registry = make_change(None, 20, upstreams=UPSTREAMS)
+        for node in (seed, new_node):
+            self.network.nodes[node.address] = node
+            node.roles.record_listing(node.exchange.loop.time())
+            node.exchange.publish_change(registry, 0.0)
+        new_node.exchange.request_first_listing(seed.address)
+        self.assertEqual(new_node.applied, [])
+        apply_without_broadcast(seed, make_change(20, 20, version=7))
+        self.assertEqual(new_node.applied, [7])
+        self.assertEqual(new_node.exchange.configuration, make_configuration(7))
+
     async def test_first_listing_of_a_reader_is_sent_on_request_only(self) -> None:
         """Load pattern: all hosts start at once, and many are readers for a moment."""
         restarted = Node(self.reader.address, self.network)
--- a/foxtailway/sidecar/update_exchange.py
+++ b/foxtailway/sidecar/update_exchange.py
@@ -42,6 +42,8 @@
 # Time for which a new node waits for its own listing of the store before it requests
 # one from a reader.
 INITIAL_LISTING_DELAY_S = 1.0
+# Largest number of nodes that wait for the first configuration of a node.
+MAX_WAITING = 1_000
 # Number of recent configurations that a node keeps, so that it can send the changes
 # since one of them in place of all routes.
 N_RECENT_CONFIGURATIONS = 8
@@ -85,6 +87,9 @@
     up_to_date_at : float
         Monotonic time in seconds at which this state was last known to equal the
         state of the store.
+    waiting : set of str
+        Addresses of the nodes that requested a listing before this node had a
+        configuration.
     """
 
     def __init__(
@@ -115,6 +120,7 @@
         self.recent: dict[int, TrafficConfiguration] = {}
         self.applied_at: dict[int, float] = {}
         self.packed_changes: dict[int, bytes] = {}
+        self.waiting: set[str] = set()
 
     @property
     def version(self) -> int:
@@ -167,11 +173,11 @@
     ) -> PeerUpdate:
         """Return the update for a change that was applied.
 
-        The first listing of a node is not sent, since most nodes already have it:
-        after a power loss, many nodes list the store at once, and those that consider
+        The first state of a node is not sent, since most nodes already have it:
+        after a power loss, many nodes read the store at once, and those that consider
         themselves readers would fill the links. A node that lacks it requests it.
         """
-        if change.base_revision is None and previous is None:
+        if previous is None:
             return self.make_update(base_revision=self.revision)
         packed = b""
         if self.configuration is not previous:
@@ -378,7 +384,23 @@
         if now - self.listing_requested_at < MIN_LISTING_INTERVAL_S:
             return
         self.listing_requested_at = now
-        send_reply(PeerListingRequest(version=self.version))
+        send_reply(self.make_listing_request())
+
+    def request_first_listing(self, seed: str) -> None:
+        """Request the first listing of this node from its seed."""
+        self.peers.send(seed, self.make_listing_request())
+
+    def make_listing_request(self) -> PeerListingRequest:
+        """Return the request of this node for a listing."""
+        return PeerListingRequest(address=self.address, version=self.version)
+
+    def receive_listing_request(self, request: PeerListingRequest) -> None:
+        """Send a listing, as soon as this node has a configuration."""
+        if self.configuration is None:
+            if len(self.waiting) < MAX_WAITING:
+                self.waiting.add(request.address)
+        else:
+            self.send_listing(request.address, request.version)
 
     def apply_locally(self, change: RegistryChange) -> bool:
         """Apply a change to this node; return whether upstreams may have changed.
@@ -412,6 +434,8 @@
         if len(self.recent) > N_RECENT_CONFIGURATIONS:
             oldest_version = next(iter(self.recent))
             del self.recent[oldest_version], self.applied_at[oldest_version]
+        while self.waiting:
+            self.send_listing(self.waiting.pop())
 
     def log_changes(self, change: RegistryChange) -> None:
         """Log the upstreams that are added, removed or in a new state."""
--- a/foxtailway/traffic/reader_roles.py
+++ b/foxtailway/traffic/reader_roles.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from math import log2
+from math import ceil, log2, sqrt
 
 from foxtailway.routing.rendezvous import rank_names
 from foxtailway.traffic.membership import Upstream, UpstreamState
@@ -192,6 +192,10 @@
         Known reader of each other region.
     store_delay_s : float
         Time that this node needs to connect to the store, in seconds.
+    seeds : tuple of str
+        Addresses of the region's hosts whose nodes read their first configuration
+        from the store, in the order in which this node asks them for it; empty if
+        this node is one of them.
 
     Notes
     -----
@@ -223,6 +227,7 @@
         self.remote_peers: frozenset[str] = frozenset()
         self.remote_readers: dict[str, RemoteReader] = {}
         self.store_delay_s = float("inf")
+        self.seeds: tuple[str, ...] = ()
 
     def update(
         self,
@@ -258,6 +263,11 @@
         self.remote_peers = frozenset(remote_addresses - addresses)
         ranking = rank_names(f"readers of {region}", addresses)
         self.peers = tuple(address for address in ranking if address != self.address)
+        # With so many seeds, a seed serves about as many nodes as there are seeds.
+        seeds = ranking[: ceil(sqrt(len(ranking)))]
+        self.seeds = ()
+        if self.address not in seeds:
+            self.seeds = rank_names(self.address, seeds)
         if self.address not in addresses:
             self.rank = N_RANK_GROUPS * len(ranking) if was_reader else None
             return
--- a/foxtailway/traffic/tests/test_reader_roles.py
+++ b/foxtailway/traffic/tests/test_reader_roles.py
@@ -1,3 +1,4 @@
+from collections import Counter
 from dataclasses import replace
 from unittest import TestCase
 
@@ -43,6 +44,23 @@
         others = {f"10.0.0.{number}" for number in range(N_EAST)} - {reader.address}
         self.assertEqual(set(reader.peers), others)
 
+    def test_few_nodes_of_a_region_read_their_first_configuration(self) -> None:
+        """Load pattern: all hosts lose power and start at once."""
+        addresses = [f"10.0.{number}.1" for number in range(100)]
+        upstreams = [make_upstream(f"u-{item}", address=item) for item in addresses]
+        seeds = Counter()
+        n_seeds = 0
+        for address in addresses:
+            roles = ReaderRoles(
+                address=address, capacity=PREFERRED_CAPACITY, timings=TIMINGS
+            )
+            roles.update(upstreams, "zone-a", REGIONS, 0.0)
+            n_seeds += not roles.seeds
+            seeds.update(roles.seeds[:1])
+        self.assertEqual(n_seeds, 10)
+        self.assertEqual(len(seeds), 10)
+        self.assertLess(max(seeds.values()), 25)
+
     def test_only_host_of_a_region_is_the_reader(self) -> None:
         roles = make_roles("10.0.0.50")
         self.assertTrue(roles.is_reader(0.1))
