--- a/foxtailway/sidecar/peer_stream.py
+++ b/foxtailway/sidecar/peer_stream.py
@@ -15,8 +15,7 @@
 
 # Bound of one encoded message; a larger one closes the stream.
 MAX_MESSAGE_BYTES = 80_000_000
-# Receive buffer of a new stream; it grows with the messages. The default of msgpack,
-# 16 KiB, adds up over the streams to all peers.
+# Receive buffer of an unpacker, which grows with the messages.
 INITIAL_BUFFER_BYTES = 1_024
 # Idle time before the first TCP keep-alive probe. A dead peer is detected within about
 # three seconds.
@@ -68,6 +67,9 @@
     ----------
     received_at : float
         Monotonic time at which data was last received, in seconds.
+    unpacker : msgpack.Unpacker or None
+        Holds a message of which only a part was received; None without one, since
+        each takes 40 KiB and most streams are idle.
     """
 
     def __init__(
@@ -78,11 +80,8 @@
         self.codec = codec
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
-        self.unpacker = msgpack.Unpacker(
-            read_size=INITIAL_BUFFER_BYTES,
-            max_buffer_size=MAX_MESSAGE_BYTES,
-            strict_map_key=False,
-        )
+        self.unpacker: msgpack.Unpacker | None = None
+        self.n_fed = 0
         self.received_at = self.loop.time()
         self.peer = ""
         self.is_open = False
@@ -99,10 +98,19 @@
     def data_received(self, data: bytes) -> None:
         """Decode and deliver received messages; malformed ones close the stream."""
         self.received_at = self.loop.time()
+        if self.unpacker is None:
+            self.unpacker = make_unpacker()
+            self.n_fed = 0
+        unpacker = self.unpacker
+        self.n_fed += len(data)
+        message_end = 0
         try:
-            self.unpacker.feed(data)
-            for packed in self.unpacker:
+            unpacker.feed(data)
+            for packed in unpacker:
+                message_end = unpacker.tell()
                 self.handler.message_received(self, self.codec.build(packed))
+            if message_end == self.n_fed:
+                self.unpacker = None
         except STREAM_ERRORS as error:
             self.log.write("peer_stream_malformed", peer=self.peer, error=error)
             self.close()
@@ -135,6 +143,15 @@
             self.transport.abort()
 
 
+def make_unpacker() -> msgpack.Unpacker:
+    """Return an unpacker for the messages of one stream."""
+    return msgpack.Unpacker(
+        read_size=INITIAL_BUFFER_BYTES,
+        max_buffer_size=MAX_MESSAGE_BYTES,
+        strict_map_key=False,
+    )
+
+
 def set_keepalive(sock: socket.socket) -> None:
     """Enable TCP keep-alive, so that a dead peer is detected."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- /dev/null
+++ b/foxtailway/sidecar/tests/test_peer_stream.py
@@ -0,0 +1,54 @@
+from unittest import IsolatedAsyncioTestCase
+
+from foxtailway.sidecar.peer_message import PeerPing
+from foxtailway.sidecar.peer_stream import (
+    PeerStream,
+    PeerStreamHandler,
+    make_peer_codec,
+)
+from foxtailway.sidecar.tests.support import make_log
+
+MESSAGES = tuple(PeerPing(sequence=number) for number in (1, 300, 70_000))
+
+
+class RecordingHandler(PeerStreamHandler):
+    def __init__(self) -> None:
+        self.messages: list[object] = []
+
+    def message_received(self, stream: PeerStream, message: object) -> None:
+        self.messages.append(message)
+
+    def stream_opened(self, stream: PeerStream) -> None:
+        raise NotImplementedError
+
+    def stream_lost(self, stream: PeerStream) -> None:
+        raise NotImplementedError
+
+
+class PeerStreamTest(IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.codec = make_peer_codec()
+        self.data = b"".join(map(self.codec.encode, MESSAGES))
+        self.handler = RecordingHandler()
+
+    def make_stream(self) -> PeerStream:
+        return PeerStream(handler=self.handler, codec=self.codec, log=make_log())
+
+    async def test_messages_may_be_split_at_any_byte(self) -> None:
+        for split_at in range(len(self.data) + 1):
+            stream = self.make_stream()
+            self.handler.messages.clear()
+            stream.data_received(self.data[:split_at])
+            stream.data_received(self.data[split_at:])
+            self.assertEqual(self.handler.messages, list(MESSAGES))
+
+    async def test_stream_without_a_partial_message_holds_no_unpacker(self) -> None:
+        """Load pattern: streams to hundreds of peers, most of them idle."""
+        stream = self.make_stream()
+        self.assertIsNone(stream.unpacker)
+        for data in (self.data[:-1], self.data[-1:] + self.data[:1]):
+            stream.data_received(data)
+            self.assertIsNotNone(stream.unpacker)
+        stream.data_received(self.data[1:])
+        self.assertIsNone(stream.unpacker)
+        self.assertEqual(len(self.handler.messages), 2 * len(MESSAGES))
