Read the store less at a start and after an outage

Change: what a node reads after its start or after an outage counts as a confirmation by a reader, so that only the first in rank sends it on. At the first start of all nodes, which the settings tell, one call reads everything. A follower that read the changes itself follows again for a while.

Seen failing before: a node behind others sent its listing after an outage.

--- a/foxtailway/platform/main.py
+++ b/foxtailway/platform/main.py
@@ -72,7 +72,10 @@
         )
         self.client = StoreClient(endpoint=settings.store)
         self.watcher = StoreWatcher(
-            client=self.client, node=self.node, random_source=random_source
+            client=self.client,
+            node=self.node,
+            random_source=random_source,
+            is_first_start=settings.is_first_start,
         )
 
     async def run(self) -> int:
--- a/foxtailway/platform/settings.py
+++ b/foxtailway/platform/settings.py
@@ -89,6 +89,7 @@
         retry_window_s=parse_seconds(fields["bounds.retry_window"]),
         max_response_size=int(memory_size * RESPONSE_MEMORY_SHARE),
         max_buffered_size=int(memory_size * BUFFERED_MEMORY_SHARE),
+        is_first_start=fields.get("bootstrap") == "true",
     )
 
 
--- a/foxtailway/platform/store_watcher.py
+++ b/foxtailway/platform/store_watcher.py
@@ -72,13 +72,16 @@
         Node that applies the changes.
     random_source : Random
         Source of the jitter of pauses.
+    is_first_start : bool, default=False
+        Whether all sidecars start for the first time, so that none of them can send
+        another one its first configuration.
 
     Attributes
     ----------
     is_listing_needed : bool
         Whether all keys have to be listed before changes can be watched.
     is_started : bool
-        Whether this node has read the configuration from the store once.
+        Whether the first configuration is not to be requested from a seed.
     registry_listed_at : float
         Monotonic time at which a new node listed the registry, in seconds.
     n_seed_requests : int
@@ -86,7 +89,12 @@
     """
 
     def __init__(
-        self, *, client: StoreClient, node: SidecarNode, random_source: Random
+        self,
+        *,
+        client: StoreClient,
+        node: SidecarNode,
+        random_source: Random,
+        is_first_start: bool = False,
     ) -> None:
         self.client = client
         self.node = node
@@ -95,7 +103,7 @@
         self.loop = asyncio.get_running_loop()
         self.decoder = ConfigurationDecoder()
         self.is_listing_needed = True
-        self.is_started = False
+        self.is_started = is_first_start
         self.registry_listed_at = float("-inf")
         self.n_seed_requests = 0
         self.backoff_s = FIRST_BACKOFF_S
@@ -106,7 +114,7 @@
         """Watch the store, or follow a reader, until cancelled."""
         while True:
             try:
-                if self.exchange.revision is None:
+                if self.exchange.revision is None and not self.is_started:
                     await self.list_registry()
                 elif self.exchange.configuration is None and not self.is_started:
                     await self.obtain_configuration()
@@ -228,12 +236,25 @@
 
     async def list_all(self) -> None:
         """List all keys and apply them."""
+        is_taking_over = self.is_taking_over()
         requested_at = read_boot_time()
         revision, items = await self.list_keys(ALL_KEYS)
         self.is_listing_needed = False
         age_s = read_boot_time() - requested_at
+        if not is_taking_over:
+            self.node.roles.record_listing(self.loop.time() - age_s)
         self.exchange.publish_change(self.decode_change(None, revision, items), age_s)
-        self.node.roles.record_listing(self.loop.time() - age_s)
+
+    def is_taking_over(self) -> bool:
+        """Return whether this node is the reader because those before it failed.
+
+        After a start and after an outage of the store, nearly all nodes read it and
+        have heard of no reader for a while. What such a node reads counts as a
+        confirmation, so that it gives the nodes before it time to be the reader.
+        Otherwise each would send its state to all others.
+        """
+        is_reader = self.node.roles.is_reader(self.loop.time())
+        return is_reader and self.outage_started_at is None
 
     async def list_keys(self, prefix: str) -> tuple[int, list[StoreItem]]:
         """Return the items with a prefix and the revision from which to watch them.
@@ -259,6 +280,7 @@
         """Wait for changes once and apply them."""
         if self.loop.time() - self.last_call_at > MAX_CONNECTION_IDLE_S:
             self.client.close()
+        is_taking_over = self.is_taking_over()
         requested_at = read_boot_time()
         wait_s = self.choose_wait_s()
         page = await self.client.watch(ALL_KEYS, self.exchange.revision, wait_s)
@@ -271,6 +293,8 @@
         if not page.items:
             age_s = max(0.0, age_s - wait_s)
         revision = max(base_revision, page.revision)
+        if not is_taking_over:
+            self.node.roles.record_listing(self.loop.time() - age_s)
         self.exchange.publish_change(
             self.decode_change(base_revision, revision, items), age_s
         )
--- a/foxtailway/platform/tests/test_settings.py
+++ b/foxtailway/platform/tests/test_settings.py
@@ -36,6 +36,9 @@
 
     def test_fields_are_read(self) -> None:
         settings = self.read(SETTINGS_TEXT)
+        self.assertFalse(settings.is_first_start)
+        first_start = self.read(SETTINGS_TEXT + "bootstrap=true\n")
+        self.assertTrue(first_start.is_first_start)
         self.assertEqual(settings.zone_regions, {"zone-a": "east", "zone-b": "west"})
         self.assertEqual(settings.peer_listener.port, 8300)
         self.assertEqual(settings.grace_s, 6.0)
--- a/foxtailway/platform/tests/test_store_watcher.py
+++ b/foxtailway/platform/tests/test_store_watcher.py
@@ -129,6 +129,35 @@
         with patch.object(store_watcher_module, "SEED_TIMEOUT_S", 0.0):
             await wait_until(lambda: self.node.versions == [3])
 
+    async def test_first_start_needs_one_call(self) -> None:
+        """Load pattern: all nodes start before any upstream has registered."""
+        watcher = StoreWatcher(
+            client=self.client,
+            node=self.node,
+            random_source=Random(1),
+            is_first_start=True,
+        )
+        with patch.object(watcher, "list_registry") as list_registry:
+            task = asyncio.create_task(watcher.run())
+            self.addAsyncCleanup(self.stop, task)
+            await wait_until(lambda: self.node.versions == [3])
+        list_registry.assert_not_called()
+
+    async def test_node_behind_others_sends_nothing_after_an_outage(self) -> None:
+        """Load pattern: the store returns, and hundreds of nodes read it at once."""
+        await self.watcher.list_all()
+        self.node.exchange.on_membership_change = lambda: None
+        roles = self.node.roles
+        roles.peers = ("10.0.0.8",)
+        for rank, outage_started_at, n_updates in ((1, 0.0, 0), (1, None, 1)):
+            with self.subTest(outage_started_at=outage_started_at):
+                self.node.peers.updates.clear()
+                roles.rank = rank
+                roles.preferred_confirmed_at = float("-inf")
+                self.watcher.outage_started_at = outage_started_at
+                await self.watcher.list_all()
+                self.assertEqual(len(self.node.peers.updates), n_updates)
+
     async def test_response_older_than_an_update_reverts_nothing(self) -> None:
         """A reader's update during a watch must not be undone by the watch.
 
--- a/foxtailway/sidecar/settings.py
+++ b/foxtailway/sidecar/settings.py
@@ -48,6 +48,9 @@
     max_buffered_size : int
         Largest sum of the bodies of all responses that are received at a time, in
         bytes.
+    is_first_start : bool, default=False
+        Whether all sidecars start for the first time, so that none has a
+        configuration.
     """
 
     host_id: str
@@ -67,3 +70,4 @@
     retry_window_s: float
     max_response_size: int
     max_buffered_size: int
+    is_first_start: bool = False
