--- a/foxtailway/platform/store.py
+++ b/foxtailway/platform/store.py
@@ -186,6 +186,19 @@
         self.close()
         raise StoreError(step=name, peer=self.peer, detail=f"status {response.status}")
 
+    async def measure_delay(self) -> float:
+        """Return the shortest time that it took to connect, in seconds.
+
+        Connects before the first call; raises `StoreError` if that fails.
+        """
+        try:
+            await self.connect()
+        except ExchangeError as error:
+            raise StoreError(
+                step="connect", peer=self.peer, detail=error.detail
+            ) from error
+        return self.min_connect_s
+
     async def connect(self) -> HttpConnection:
         """Return the persistent connection, or a new one if it cannot be reused."""
         if self.connection is None or not self.connection.is_reusable:
--- a/foxtailway/platform/store_watcher.py
+++ b/foxtailway/platform/store_watcher.py
@@ -49,6 +49,9 @@
 # Longest pause of a reader before jitter. It is shorter than that of other nodes, which
 # `ReaderTimings` limits, since followers depend on the reader.
 MAX_READER_BACKOFF_S = 0.8
+# Time to connect below which the store is in the region of the node. A round trip
+# between regions takes longer.
+MAX_NEAR_STORE_DELAY_S = 0.01
 # Time for which a new node asks the seeds of its region for its first configuration
 # before it reads the store.
 SEED_TIMEOUT_S = 1.0
@@ -115,7 +118,7 @@
         while True:
             try:
                 if self.exchange.revision is None and not self.is_started:
-                    await self.list_registry()
+                    await self.read_first_state()
                 elif self.exchange.configuration is None and not self.is_started:
                     await self.obtain_configuration()
                 elif self.node.roles.is_following(self.loop.time()):
@@ -191,12 +194,20 @@
             return False
         return self.exchange.count_versions_since(now - STORM_PERIOD_S) > 1
 
-    async def list_registry(self) -> None:
-        """List and apply the registry, the first step of a new node.
+    async def read_first_state(self) -> None:
+        """List all keys of a near store, or the registry of a store in another region.
 
-        It tells the node its peers. The configuration is large, and after a power loss
-        all nodes of a region would read it over the link between two regions.
+        The registry tells a node its peers. The configuration is large, and after a
+        power loss all nodes of a region would read it over the link between regions.
         """
+        if await self.client.measure_delay() < MAX_NEAR_STORE_DELAY_S:
+            await self.list_all()
+            self.is_started = True
+        else:
+            await self.list_registry()
+
+    async def list_registry(self) -> None:
+        """List and apply the registry."""
         requested_at = read_boot_time()
         revision, items = await self.list_keys(UPSTREAM_PREFIX)
         age_s = read_boot_time() - requested_at
--- a/foxtailway/platform/tests/test_store_watcher.py
+++ b/foxtailway/platform/tests/test_store_watcher.py
@@ -113,9 +113,12 @@
         return len(self.node.membership.list_ready("records"))
 
     async def test_new_node_asks_a_seed_before_it_reads_the_configuration(self) -> None:
-        """Load pattern: all hosts lose power and start at once."""
+        """Load pattern: all hosts lose power; the store is in another region."""
         seeds = ("10.0.0.7", "10.0.0.8")
-        with patch.object(store_watcher_module, "SEED_TIMEOUT_S", LONG_TIMEOUT_S):
+        with (
+            patch.object(store_watcher_module, "SEED_TIMEOUT_S", LONG_TIMEOUT_S),
+            patch.object(store_watcher_module, "MAX_NEAR_STORE_DELAY_S", 0.0),
+        ):
             self.node.exchange.on_membership_change = lambda: None
             self.node.roles.seeds = seeds
             task = asyncio.create_task(self.watcher.run())
@@ -129,6 +132,14 @@
         with patch.object(store_watcher_module, "SEED_TIMEOUT_S", 0.0):
             await wait_until(lambda: self.node.versions == [3])
 
+    async def test_node_near_the_store_reads_everything_at_once(self) -> None:
+        self.node.roles.seeds = ("10.0.0.7",)
+        near_s = LONG_TIMEOUT_S
+        with patch.object(store_watcher_module, "MAX_NEAR_STORE_DELAY_S", near_s):
+            await self.start()
+        self.assertEqual(self.node.versions, [3])
+        self.assertEqual(self.node.peers.sent, [])
+
     async def test_first_start_needs_one_call(self) -> None:
         """Load pattern: all nodes start before any upstream has registered."""
         watcher = StoreWatcher(
--- a/foxtailway/traffic/reader_roles.py
+++ b/foxtailway/traffic/reader_roles.py
@@ -263,7 +263,8 @@
         self.remote_peers = frozenset(remote_addresses - addresses)
         ranking = rank_names(f"readers of {region}", addresses)
         self.peers = tuple(address for address in ranking if address != self.address)
-        # With so many seeds, a seed serves about as many nodes as there are seeds.
+        # The link between regions carries a configuration for each seed, and the link
+        # of a seed one for each node that it serves.
         seeds = ranking[: ceil(sqrt(len(ranking)))]
         self.seeds = ()
         if self.address not in seeds:
