Give up bodies that can't arrive in time, and outlive errors at an end

Cause: found by reading. An error while an exchange was recorded kept its slot for good, and one while queued requests were checked ended the checks until the next request queued.

Change: a waiting body is given up as soon as it would miss its deadline even with the whole link. An exit stack releases connection and slot; the next check is scheduled first.

Tried and reverted: requests that have not failed before may use 0.75 of the retry budget only.

Seen failing before: the two tests of errors, that of the dropped transfer.

--- a/foxtailway/sidecar/body_receiver.py
+++ b/foxtailway/sidecar/body_receiver.py
@@ -30,7 +30,14 @@
         self.call_id = call_id
         self.transfer = transfer
         self.content = bytearray()
-        self.completed = asyncio.get_running_loop().create_future()
+        self.completed: asyncio.Future[bool] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    def complete(self, is_complete: bool) -> None:
+        """End the wait for the body, of which all bytes or none have arrived."""
+        if not self.completed.done():
+            self.completed.set_result(is_complete)
 
 
 class BodyReceiver:
@@ -90,18 +97,23 @@
         self.send_grants()
         try:
             async with asyncio.timeout_at(call.deadline - run_time_s):
-                await body.completed
+                is_complete = await body.completed
         except TimeoutError:
             return None
         finally:
             del self.incoming[stream, call_id]
             self.queue.discard(transfer)
             self.send_grants()
-        return bytes(body.content)
+        return bytes(body.content) if is_complete else None
 
     def send_grants(self) -> None:
-        """Tell the senders of the next bodies what they may send."""
+        """Tell the senders of the next bodies what they may send.
+
+        Bodies that can't arrive in time any more are given up at once.
+        """
         bodies = {body.transfer: body for body in self.incoming.values()}
+        for transfer in self.queue.drop_infeasible(self.loop.time()):
+            bodies[transfer].complete(False)
         for transfer, n_bytes in self.queue.make_grants():
             body = bodies[transfer]
             body.stream.send(PeerBodyGrant(call_id=body.call_id, n_bytes=n_bytes))
@@ -117,7 +129,7 @@
         if not self.queue.record_received(body.transfer, len(part.content)):
             return False
         body.content += part.content
-        if body.transfer.is_complete and not body.completed.done():
-            body.completed.set_result(None)
+        if body.transfer.is_complete:
+            body.complete(True)
         self.send_grants()
         return True
--- a/foxtailway/sidecar/tests/test_unexpected_errors.py
+++ b/foxtailway/sidecar/tests/test_unexpected_errors.py
@@ -7,16 +7,22 @@
 from unittest.mock import patch
 
 from foxtailway.routing.outcome import Outcome
-from foxtailway.sidecar import http_listener
+from foxtailway.sidecar import http_listener, upstream_runner
 from foxtailway.sidecar import node as node_module
-from foxtailway.sidecar.call import CallRefusal
+from foxtailway.sidecar.call import CallRefusal, UpstreamResponse
 from foxtailway.sidecar.dispatcher import RequestDispatcher
 from foxtailway.sidecar.http_listener import ClientConnection
 from foxtailway.sidecar.http_message import ClientRequest, Response
 from foxtailway.sidecar.log import EventLog
 from foxtailway.sidecar.node import SidecarNode, StopTimes
 from foxtailway.sidecar.peer_message import PeerPing
-from foxtailway.sidecar.tests.support import LONG_TIMEOUT_S, make_call, wait_until
+from foxtailway.sidecar.tests.support import (
+    LONG_TIMEOUT_S,
+    ScriptedUpstream,
+    make_call,
+    respond,
+    wait_until,
+)
 from foxtailway.sidecar.tests.test_end_to_end import make_node
 from foxtailway.sidecar.upstream_runner import UpstreamRunner
 
@@ -161,6 +167,34 @@
         stream = await link.acquire_stream()
         self.assertIsNotNone(stream)
 
+    async def test_failed_end_of_an_exchange_frees_its_slot(self) -> None:
+        async with ScriptedUpstream(respond(), respond()) as upstream:
+            runner = self.node.runner
+            runner.pool.port = upstream.port
+            failures = Failures()
+            with patch.object(runner, "record_exchange", failures):
+                for _ in range(2):
+                    async with asyncio.timeout(LONG_TIMEOUT_S / 2):
+                        result = await runner.run(make_call(runner.loop.time()))
+                    self.assertIsInstance(result, UpstreamResponse)
+            await asyncio.sleep(0)
+            self.assertEqual(runner.queue.n_busy, 0)
+        self.assert_logged("event loop")
+
+    async def test_checks_of_the_slot_queue_go_on_after_an_error(self) -> None:
+        runner = self.node.runner
+        runner.queue.n_running = runner.queue.n_slots
+        failures = Failures(n_failures=2, result=[])
+        call = make_call(runner.loop.time())
+        with (
+            patch.object(upstream_runner, "QUEUE_CHECK_INTERVAL_S", SHORT_INTERVAL_S),
+            patch.object(runner.queue, "drop_infeasible", failures),
+        ):
+            task = asyncio.create_task(runner.run(call))
+            await self.wait_for_calls(failures)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
     async def test_periodic_tasks_of_the_node_go_on_after_an_error(self) -> None:
         failures = Failures(n_failures=2)
         with patch.object(self.node.membership, "remove_expired", failures):
--- a/foxtailway/sidecar/upstream_runner.py
+++ b/foxtailway/sidecar/upstream_runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import ExitStack
 
 from foxtailway.routing.outcome import Outcome, RefusalReason
 from foxtailway.routing.quarantine import compute_fingerprint
@@ -225,12 +226,15 @@
             )
 
     def check_queue(self) -> None:
-        """Refuse the queued requests that cannot finish before their deadline."""
+        """Refuse the queued requests that cannot finish before their deadline.
+
+        The next check is scheduled first, so that an error does not end the checks.
+        """
         self.queue_timer = None
-        for request in self.queue.drop_infeasible(self.loop.time()):
-            self.notify_waiter(request, False)
         if self.queue.waiting:
             self.schedule_queue_check()
+        for request in self.queue.drop_infeasible(self.loop.time()):
+            self.notify_waiter(request, False)
 
     def notify_waiter(self, request: QueuedRequest, is_admitted: bool) -> None:
         """Admit or refuse a queued request.
@@ -296,18 +300,29 @@
         )
 
         def end_exchange(done: "asyncio.Future[ReceivedResponse]") -> None:
-            if not done.cancelled() and done.exception() is None:
-                if self.is_refusal(done.result()):
-                    connection.refused_ids.add(call.request_id.encode("latin-1"))
-                else:
+            with ExitStack() as stack:
+                stack.callback(self.release_slot)
+                stack.callback(self.pool.release, connection)
+                if not done.cancelled() and done.exception() is None:
                     run_time_s = self.loop.time() - started_at
-                    self.queue.run_times.record(call.route, run_time_s)
-            self.pool.release(connection)
-            self.release_slot()
+                    self.record_exchange(call, connection, done.result(), run_time_s)
 
         exchange.add_done_callback(end_exchange)
         return exchange
 
+    def record_exchange(
+        self,
+        call: UpstreamCall,
+        connection: HttpConnection,
+        received: ReceivedResponse,
+        run_time_s: float,
+    ) -> None:
+        """Record the run time, or on its connection that the request was refused."""
+        if self.is_refusal(received):
+            connection.refused_ids.add(call.request_id.encode("latin-1"))
+        else:
+            self.queue.run_times.record(call.route, run_time_s)
+
     async def wait_for_response(
         self,
         call: UpstreamCall,
--- a/foxtailway/traffic/tests/test_transfer_queue.py
+++ b/foxtailway/traffic/tests/test_transfer_queue.py
@@ -115,6 +115,16 @@
         self.assertTrue(self.queue.offer(make_transfer(size=2_000_000), 0.0))
         self.assertFalse(self.queue.offer(make_transfer(size=2_000_000), 0.0))
 
+    def test_waiting_transfer_that_cannot_finish_is_dropped(self) -> None:
+        running = make_transfer(size=1_000_000, deadline=9.0)
+        waiting = make_transfer(size=1_000_000)
+        for transfer in (running, waiting):
+            self.assertTrue(self.queue.offer(transfer, 0.0))
+            self.grant()
+        self.assertEqual(self.queue.drop_infeasible(2.0), [])
+        self.assertEqual(self.queue.drop_infeasible(2.2), [waiting])
+        self.assertEqual(self.queue.transfers, [running])
+
     def test_bytes_that_were_not_granted_are_reported(self) -> None:
         transfer = make_transfer()
         self.queue.offer(transfer, 0.0)
--- a/foxtailway/traffic/transfer_queue.py
+++ b/foxtailway/traffic/transfer_queue.py
@@ -108,14 +108,37 @@
 
     def estimate_end(self, transfer: BodyTransfer, now: float) -> float:
         """Return the time at which the request of a transfer is expected to finish."""
+        n_bytes = self.count_bytes_until_end(transfer)
+        return now + n_bytes / self.bandwidth + transfer.run_time_s
+
+    def count_bytes_until_end(self, transfer: BodyTransfer) -> int:
+        """Return the number of bytes that arrive until a transfer is complete."""
         sort_key = self.get_sort_key(transfer)
         n_ahead = sum(
             other.size - other.n_received
             for other in self.transfers
             if other is not transfer and self.get_sort_key(other) <= sort_key
         )
-        n_bytes = n_ahead + transfer.size - transfer.n_received
-        return now + n_bytes / self.bandwidth + transfer.run_time_s
+        return n_ahead + transfer.size - transfer.n_received
+
+    def drop_infeasible(self, now: float) -> list[BodyTransfer]:
+        """Remove and return the waiting transfers that can't finish in any case.
+
+        Such a request would miss its deadline even if bodies had the whole link.
+        """
+        link_bandwidth = self.link_mbps * BYTES_PER_MEGABIT
+        dropped = [
+            transfer
+            for transfer in self.transfers
+            if transfer.n_granted == 0
+            and now
+            + self.count_bytes_until_end(transfer) / link_bandwidth
+            + transfer.run_time_s
+            > transfer.deadline
+        ]
+        for transfer in dropped:
+            self.transfers.remove(transfer)
+        return dropped
 
     def get_sort_key(self, transfer: BodyTransfer) -> tuple[bool, bool, int, float]:
         """Return the sort key of a transfer; the smallest is granted next."""
