--- a/foxtailway/sidecar/http_message.py
+++ b/foxtailway/sidecar/http_message.py
@@ -144,18 +144,18 @@
     >>> select_end_to_end([(b"Connection", b"A"), (b"A", b"1"), (b"B", b"2")])
     [(b'B', b'2')]
     """
-    dropped = {
-        token.strip()
-        for name, value in headers
-        if name.lower() == b"connection"
-        for token in value.lower().split(b",")
-    }
+    selected = []
+    dropped: set[bytes] = set()
+    for pair in headers:
+        name = pair[0].lower()
+        if name == b"connection":
+            dropped.update(token.strip() for token in pair[1].lower().split(b","))
+        elif name not in excluded:
+            selected.append(pair)
     dropped -= kept
-    return [
-        pair
-        for pair in headers
-        if (name := pair[0].lower()) not in excluded and name not in dropped
-    ]
+    if not dropped:
+        return selected
+    return [pair for pair in selected if pair[0].lower() not in dropped]
 
 
 def encode_request(method: str, target: str, head: bytes, body: bytes) -> bytes:
