--- a/review/4/case.py
+++ b/review/4/case.py
@@ -17,7 +17,7 @@
     "target_latency": 500,
     "max_attempts": 2,
 }
-RATE = 60.0
+RATE = 150.0
 DRAIN_S = 2.0
 # Time that the upstream serves beyond `drain` ("a little longer"), in seconds.
 LONGER_S = 0.25
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -236,6 +236,7 @@
         self.runs = []
         self.body = b"x" * 400
         self.loses_answer = lambda request: False
+        self.crashes = None
         self.server = None
         self.writers = set()
 
@@ -312,6 +313,9 @@
         async with self.slots:
             self.runs.append(request)
             self.world.note("runs", request)
+            if self.crashes is not None and request.target.endswith("/crash"):
+                self.crashes(request)
+                return False
             await asyncio.sleep(self.work_s)
         if self.loses_answer(request):
             self.world.note("answer lost", request)
