--- a/review/4/case.py
+++ b/review/4/case.py
@@ -3,7 +3,6 @@
 import asyncio
 import itertools
 import signal
-import time
 
 from world import Client, run_script
 
@@ -60,7 +59,7 @@
 
     loader = asyncio.create_task(load())
     await asyncio.sleep(4.0)
-    while not world.store.watching:
+    while not world.store.watching:  # noqa: ASYNC110 (no event)
         await asyncio.sleep(0.01)
     reader = next(iter(world.store.watching))
     leaving = next(name for name in world.sidecars if name != reader)
@@ -88,7 +87,9 @@
     print(f"the last request reached {leaving} {last_s:.2f} s after the removal")
     world.log(f"the last request reached {leaving} {last_s:.2f} s after the removal")
     for after_s, attempt_id, name, status in late:
-        world.log(f"late by the rule: {attempt_id} from {name}, {after_s:.2f} s, {status}")
+        world.log(
+            f"late by the rule: {attempt_id} from {name}, {after_s:.2f} s, {status}"
+        )
     if late:
         n_lost = sum(status != 200 for *_, status in late)
         return [
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import json
 import os
 import random
 import signal
@@ -47,6 +46,17 @@
     return lines[0], headers
 
 
+def format_endpoint(endpoint):
+    """Return an endpoint as ``address:port``."""
+    return f"{endpoint[0]}:{endpoint[1]}"
+
+
+def read_command():
+    """Return the words of the deploy file's command."""
+    with open(ROOT / "deploy" / "system.toml", "rb") as stream:
+        return tomllib.load(stream)["roles"]["sidecar"]["run"].split()
+
+
 class Store:
     """The platform's store, as far as a sidecar reads it.
 
@@ -78,7 +88,7 @@
 
         server = await asyncio.start_server(serve, self.world.address(250), 0)
         self.servers.append(server)
-        return "%s:%d" % server.sockets[0].getsockname()[:2]
+        return format_endpoint(server.sockets[0].getsockname()[:2])
 
     def put(self, key, document):
         """Write a key and return the revision; the answer is the acknowledgement."""
@@ -250,7 +260,7 @@
         self.world.store.put(
             f"servers/{self.upstream_id}",
             {
-                "address": "%s:%d" % self.endpoint,
+                "address": format_endpoint(self.endpoint),
                 "info": {
                     "service": self.service,
                     "version": "v1",
@@ -381,7 +391,7 @@
         """Send a request and return its attempt id."""
         if self.writer is None:
             await self.connect()
-        attempt_id = "%016x" % random.getrandbits(64)
+        attempt_id = f"{random.getrandbits(64):016x}"
         length = f"Content-Length: {len(body)}\r\n" if body else ""
         self.writer.write(
             f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n"
@@ -465,6 +475,7 @@
         self.store_endpoint = store_endpoint
         self.settings = settings
         self.path = world.folder / f"{name}.conf"
+        self.log_path = world.folder / f"{name}.log"
         self.process = None
         self.ended_at = None
 
@@ -510,7 +521,7 @@
             "bounds.retry_window": 10,
             "bounds.retry_budget_slack": 64,
             "bounds.recovery": 15,
-            "app_addr": "%s:%d" % self.app,
+            "app_addr": format_endpoint(self.app),
             "service": self.service,
             "platform.address": self.store_endpoint,
             "platform.form": "read",
@@ -526,8 +537,6 @@
     async def start(self, *, bootstrap=True):
         """Start the process with the command of the deploy file."""
         self.write_settings(bootstrap=bootstrap)
-        with open(ROOT / "deploy" / "system.toml", "rb") as stream:
-            command = tomllib.load(stream)["roles"]["sidecar"]["run"].split()
         environment = {
             name: os.environ[name]
             for name in ("PATH", "HOME", "LANG")
@@ -535,10 +544,11 @@
         }
         environment["FOXTAILWAY_SETTINGS"] = str(self.path)
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
-        with open(self.world.folder / f"{self.name}.log", "ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                *command, cwd=ROOT, env=environment, stdout=log, stderr=log
-            )
+        log = os.open(self.log_path, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+        self.process = await asyncio.create_subprocess_exec(
+            *read_command(), cwd=ROOT, env=environment, stdout=log, stderr=log
+        )
+        os.close(log)
         self.world.processes.append(self.process)
         self.world.log(f"start {self.name} ({self.service}) at {self.address}")
 
@@ -567,15 +577,6 @@
             return False
         return head is not None and " 200 " in head[0] + " "
 
-    def read_log(self):
-        """Return the events that the process has logged."""
-        path = self.world.folder / f"{self.name}.log"
-        events = []
-        for line in path.read_text().splitlines():
-            if line.startswith("{"):
-                events.append(json.loads(line))
-        return events
-
 
 class World:
     """One small deployment on loopback addresses.
@@ -590,13 +591,12 @@
 
     def __init__(self, *, record_path, zones):
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
-        self.record = open(record_path, "w")  # noqa: SIM115 (closed at the end)
+        self.record = open(record_path, "w")
         self.zones = zones
         self.started_at = time.monotonic()
         self.subnet = (random.randrange(16, 250), random.randrange(1, 250))
-        self.ports = dict(
-            zip(("inbound", "outbound", "ready", "app"), self.find_ports(4))
-        )
+        names = ("inbound", "outbound", "ready", "app")
+        self.ports = dict(zip(names, self.find_ports(len(names)), strict=True))
         self.processes = []
         self.sidecars = {}
         self.upstreams = {}
@@ -604,7 +604,7 @@
 
     def address(self, number):
         """Return a loopback address of this deployment."""
-        return "127.%d.%d.%d" % (*self.subnet, number)
+        return f"127.{self.subnet[0]}.{self.subnet[1]}.{number}"
 
     def find_ports(self, n_ports):
         """Return free ports."""
@@ -688,7 +688,7 @@
             fields = defaults | {"name": f"r-{index}"} | route
             rows.append([fields[name] for name in columns])
         for index in range(n_idle_routes):
-            tail = "%016x" % random.getrandbits(64)
+            tail = f"{random.getrandbits(64):016x}"
             fields = defaults | routes[0]
             fields |= {"name": f"idle-{index}", "prefix": f"/{tail}/"}
             rows.append([fields[name] for name in columns])
@@ -721,7 +721,7 @@
             await sidecar.start()
         async with asyncio.timeout(15):
             for sidecar in self.sidecars.values():
-                while not await sidecar.is_ready():
+                while not await sidecar.is_ready():  # noqa: ASYNC110 (no event)
                     await asyncio.sleep(0.1)
         await asyncio.sleep(3.0)
         self.log("all sidecars are ready")
@@ -733,10 +733,6 @@
                 process.kill()
         for process in self.processes:
             await process.wait()
-        for name in self.sidecars:
-            log_path = self.folder / f"{name}.log"
-            if log_path.exists():
-                log_path.unlink()
         for path in self.folder.iterdir():
             path.unlink()
         self.folder.rmdir()
