Take only an outage that entries can expire in for an outage

Cause: a removed upstream was kept for 2.3 s if any call to the store had failed in the last 3 s. One watch of one reader that was cut counted as such, and the reader's updates made all followers count it. The grace period began with the removal, so that it outlasted the drain.

The same cause on related paths: followers (receive_update), nodes that take over, listings after a lost history.

Change: RegistryAccess measures for how long nobody is known to have reached the store, and entries may be missing only after a gap in which three heartbeats can have failed, until 2.3 s after its end. A removal is judged by the access of the node that read it. A broken connection is replaced without a pause, and a reader then asks for a response at once. Removals are logged with their grace period, also those that a listing shows. The wire format is unchanged: failure_age_ms now tells the end of such an outage.

Tests that held the old belief are replaced: a removal seen by a listing after a cut watch now has to be applied at once (test_lost_history_leads_to_a_new_listing), and grace periods are counted from the end of the outage.

--- a/foxtailway/platform/settings.py
+++ b/foxtailway/platform/settings.py
@@ -5,6 +5,7 @@
 from foxtailway.platform.quantity import parse_milliseconds, parse_seconds
 from foxtailway.sidecar.settings import Endpoint, SidecarSettings
 from foxtailway.traffic.reader_roles import HostCapacity
+from foxtailway.traffic.registry_access import DEFAULT_HEARTBEAT_S
 
 __all__ = ["SettingsError", "read_settings"]
 
@@ -66,6 +67,7 @@
         for name, value in fields.items()
         if name.startswith(ZONE_PREFIX)
     }
+    heartbeat = fields.get("heartbeat")
     memory_size = int(fields["limits.memory_mb"]) * BYTES_PER_MEGABYTE
     return SidecarSettings(
         host_id=fields["node_name"],
@@ -87,6 +89,9 @@
         retry_ratio=float(fields["bounds.retry_budget_ratio"]),
         retry_slack=float(fields["bounds.retry_budget_slack"]),
         retry_window_s=parse_seconds(fields["bounds.retry_window"]),
+        heartbeat_s=DEFAULT_HEARTBEAT_S
+        if heartbeat is None
+        else parse_milliseconds(int(heartbeat)),
         max_response_size=int(memory_size * RESPONSE_MEMORY_SHARE),
         max_buffered_size=int(memory_size * BUFFERED_MEMORY_SHARE),
         is_first_start=fields.get("bootstrap") == "true",
--- a/foxtailway/platform/store.py
+++ b/foxtailway/platform/store.py
@@ -51,13 +51,18 @@
         ``address:port`` of the store.
     detail : str
         Status of the response, or the error.
+    is_disconnected : bool, default=False
+        Whether an open connection broke, so that a new one may work at once.
     """
 
-    def __init__(self, *, step: str, peer: str, detail: str) -> None:
+    def __init__(
+        self, *, step: str, peer: str, detail: str, is_disconnected: bool = False
+    ) -> None:
         super().__init__(f"{step} {peer}: {detail}")
         self.step = step
         self.peer = peer
         self.detail = detail
+        self.is_disconnected = is_disconnected
 
 
 class HistoryLostError(StoreError):
@@ -179,8 +184,13 @@
                 return decode_page(msgpack.unpackb(response.body))
         except CALL_ERRORS as error:
             self.close()
-            detail = str(error) or "timeout"
-            raise StoreError(step=name, peer=self.peer, detail=detail) from error
+            raise StoreError(
+                step=name,
+                peer=self.peer,
+                detail=str(error) or "timeout",
+                is_disconnected=isinstance(error, ExchangeError)
+                and error.step == "receive",
+            ) from error
         if response.status == 410:
             raise HistoryLostError(step=name, peer=self.peer, detail="status 410")
         self.close()
--- a/foxtailway/platform/store_watcher.py
+++ b/foxtailway/platform/store_watcher.py
@@ -89,6 +89,11 @@
         Monotonic time at which a new node listed the registry, in seconds.
     n_seed_requests : int
         Requests for the first configuration that were sent to seeds.
+    is_access_continuous : bool
+        Whether this node has reached the store without interruption since its last
+        successful call.
+    last_call_at : float
+        Monotonic time of the last successful call, in seconds; the start before it.
     """
 
     def __init__(
@@ -111,6 +116,7 @@
         self.n_seed_requests = 0
         self.backoff_s = FIRST_BACKOFF_S
         self.outage_started_at: float | None = None
+        self.is_access_continuous = False
         self.last_call_at = self.loop.time()
 
     async def run(self) -> None:
@@ -141,15 +147,22 @@
                 await asyncio.sleep(ERROR_PAUSE_S)
 
     async def back_off(self, error: StoreError) -> None:
-        """Record that the store failed and pause before the next call."""
+        """Record that a call failed and pause before the next one.
+
+        A connection that broke is replaced without a pause, since the store may not
+        have failed at all.
+        """
         now = self.loop.time()
-        self.node.membership.record_registry_failure(now)
-        if self.outage_started_at is None:
+        self.record_gap(now)
+        is_first_failure = self.outage_started_at is None
+        if is_first_failure:
             self.outage_started_at = now
             self.node.log.write(
                 "store_lost", error=error, revision=self.exchange.revision
             )
         self.exchange.broadcast_age()
+        if is_first_failure and error.is_disconnected:
+            return
         await asyncio.sleep(self.backoff_s * (0.5 + self.random_source.random()))
         is_reader = self.node.roles.is_reader(self.loop.time())
         limit_s = self.node.roles.timings.max_backoff_s
@@ -159,12 +172,19 @@
         if self.loop.time() - self.outage_started_at > RELIST_OUTAGE_S:
             self.is_listing_needed = True
 
-    def follow_reader(self) -> None:
-        """Record that a reader confirms the state of this node, so the store works.
+    def record_gap(self, now: float) -> None:
+        """Record that the store was not reached since it was last known to work.
 
-        The updates of the reader contain the time of the last failure. Without this, a
-        response to this node much later would count as the end of that failure.
+        It worked when it last responded to this node, and when a reader last confirmed
+        the state of this node.
         """
+        self.is_access_continuous = False
+        started_at = max(self.last_call_at, self.exchange.up_to_date_at)
+        self.exchange.record_gap(started_at, now)
+
+    def follow_reader(self) -> None:
+        """Record that a reader confirms the state of this node, so the store works."""
+        self.is_access_continuous = False
         self.is_listing_needed = False
         if self.outage_started_at is not None:
             self.end_outage()
@@ -177,10 +197,14 @@
 
     def record_success(self) -> None:
         """Record that the store responded, which ends an outage if there is one."""
+        now = self.loop.time()
         self.node.roles.store_delay_s = self.client.min_connect_s
+        if not self.is_access_continuous:
+            self.record_gap(now)
         if self.outage_started_at is not None:
-            self.node.membership.record_registry_failure(self.loop.time())
             self.end_outage()
+        self.is_access_continuous = True
+        self.last_call_at = now
 
     def is_backlog_likely(self) -> bool:
         """Return whether the changes that this node lacks probably exceed a listing.
@@ -283,7 +307,6 @@
             if not page.has_more or not page.items:
                 break
             after = page.items[-1].key
-        self.last_call_at = self.loop.time()
         self.record_success()
         return revision, items
 
@@ -295,7 +318,6 @@
         requested_at = read_boot_time()
         wait_s = self.choose_wait_s()
         page = await self.client.watch(ALL_KEYS, self.exchange.revision, wait_s)
-        self.last_call_at = self.loop.time()
         self.record_success()
         # A reader may have sent an update during the call.
         base_revision = self.exchange.revision
@@ -316,11 +338,14 @@
         """Return how long the next watch may wait for changes, in seconds.
 
         A node that has just become the reader requests a response at once, since its
-        followers are about to read the store themselves.
+        followers are about to read the store themselves. So does a reader after a
+        failed call, as only a response shows that the store works.
         """
         now = self.loop.time()
         confirm_interval_s = self.node.roles.timings.confirm_interval_s
         if self.node.roles.is_reader(now):
+            if self.outage_started_at is not None:
+                return MIN_WATCH_WAIT_S
             age_s = now - self.exchange.up_to_date_at
             return max(MIN_WATCH_WAIT_S, confirm_interval_s - age_s)
         return (
--- a/foxtailway/platform/tests/test_store_watcher.py
+++ b/foxtailway/platform/tests/test_store_watcher.py
@@ -19,6 +19,7 @@
 from foxtailway.traffic.configuration import TrafficConfiguration
 from foxtailway.traffic.membership import Membership
 from foxtailway.traffic.reader_roles import HostCapacity, ReaderRoles, ReaderTimings
+from foxtailway.traffic.registry_access import RegistryAccess
 from foxtailway.traffic.registry_change import RegistryChange
 
 DRAINING = {"state": "draining", "sequence": 9, "cold_remaining": 0}
@@ -50,6 +51,7 @@
         self.exchange = UpdateExchange(
             address=address,
             membership=self.membership,
+            access=RegistryAccess(),
             roles=self.roles,
             peers=self.peers,
             apply=self.apply,
@@ -239,6 +241,9 @@
         self.store.status = 503
         self.store.close_connections()
         await wait_until(lambda: self.watcher.outage_started_at is not None)
+        # The store did not fail just now; entries may have expired meanwhile.
+        self.watcher.last_call_at -= 10.0
+        self.node.exchange.up_to_date_at -= 10.0
         await wait_until(lambda: self.node.peers.updates[-1].failure_age_ms < 60_000)
         self.assertGreater(self.node.peers.updates[-1].revision, 0)
 
@@ -297,7 +302,9 @@
         roles = self.node.roles
         await self.watcher.list_all()
         now = self.watcher.loop.time()
-        self.watcher.outage_started_at = self.node.membership.failed_at = now - 12.0
+        self.watcher.outage_started_at = now - 12.0
+        self.node.exchange.record_gap(now - 20.0, now - 12.0)
+        self.node.exchange.up_to_date_at = now
         roles.capacity = HostCapacity(link_mbps=1.0, n_cores=1.0)
         self.node.membership_changed()
         roles.record_listing(now + 1e6)
@@ -380,7 +387,50 @@
         self.store.remove("servers/u-1")
         self.store.compact()
         await wait_until(lambda: self.store.calls.count("/v1/kv-range") > 2)
+        await wait_until(lambda: "u-1" not in self.node.membership.upstreams)
+        self.assertEqual(self.n_ready, 4)
+
+    async def test_upstream_that_leaves_after_a_cut_watch_is_removed(self) -> None:
+        """A cut watch must not keep an upstream that leaves beyond its drain."""
+        await self.start()
+        n_calls = len(self.store.calls)
+        self.store.close_connections()
+        await wait_until(lambda: len(self.store.calls) > n_calls)
+        self.store.remove("servers/u-1")
+        await wait_until(lambda: "u-1" not in self.node.membership.upstreams)
+        self.assertEqual(self.node.membership.expired, {})
+
+    async def test_entries_that_expire_in_an_outage_are_kept(self) -> None:
+        """The other side: live upstreams could not renew their entries."""
+        await self.start()
+        self.store.status = 503
+        self.store.close_connections()
+        await wait_until(lambda: self.watcher.outage_started_at is not None)
+        self.watcher.last_call_at -= 10.0
+        self.node.exchange.up_to_date_at -= 10.0
+        self.store.remove("servers/u-1")
+        self.store.status = 200
         await wait_until(lambda: "u-1" in self.node.membership.expired)
+        self.assertEqual(self.n_ready, 5)
+
+    async def test_broken_connection_is_replaced_without_a_pause(self) -> None:
+        await self.start()
+        pauses: list[float] = []
+
+        async def record_pause(pause_s: float) -> None:
+            pauses.append(pause_s)
+
+        error = StoreError(
+            step="kv-watch",
+            peer="10.9.0.1:8309",
+            detail="connection lost",
+            is_disconnected=True,
+        )
+        with patch.object(store_watcher_module.asyncio, "sleep", record_pause):
+            await self.watcher.back_off(error)
+            self.assertEqual(pauses, [])
+            await self.watcher.back_off(error)
+            self.assertEqual(len(pauses), 1)
 
     async def test_watcher_recovers_from_error_statuses(self) -> None:
         await self.start()
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -31,6 +31,7 @@
     ReaderRoles,
     ReaderTimings,
 )
+from foxtailway.traffic.registry_access import RegistryAccess
 from foxtailway.traffic.selection import UpstreamSelector
 from foxtailway.transport.response_limits import BufferBudget, ResponseLimits
 
@@ -101,6 +102,7 @@
         self.is_reader = False
         self.announced_at = float("-inf")
         self.membership = Membership()
+        self.access = RegistryAccess(heartbeat_s=settings.heartbeat_s)
         self.roles = ReaderRoles(
             address=settings.upstream.address,
             capacity=settings.capacity,
@@ -123,6 +125,7 @@
         self.exchange = UpdateExchange(
             address=settings.upstream.address,
             membership=self.membership,
+            access=self.access,
             roles=self.roles,
             peers=self.peers,
             apply=self.apply,
@@ -300,6 +303,7 @@
         self.roles.capacity = settings.capacity
         self.peer_listener.bodies.queue.link_mbps = settings.capacity.link_mbps
         self.roles.timings = ReaderTimings(apply_s=settings.apply_s)
+        self.access.heartbeat_s = settings.heartbeat_s
         self.runner.pool.apply_limits(
             max_body_size=settings.max_response_size,
             max_buffered_size=settings.max_buffered_size,
--- a/foxtailway/sidecar/peer_message.py
+++ b/foxtailway/sidecar/peer_message.py
@@ -223,8 +223,8 @@
     age_ms : int
         Time since the reader was known to be up to date, in milliseconds.
     failure_age_ms : int
-        Time since the store last failed for the reader, in milliseconds. Shortly
-        after a failure, entries may be missing from the store.
+        Time since the end of the last outage of the store, as the reader saw it, in
+        which entries may have expired, in milliseconds; large for none.
     members, change : bytes
         `MembershipChange` and `ConfigurationChange`, packed by
         `foxtailway.sidecar.update_content`; empty when nothing changed.
--- a/foxtailway/sidecar/settings.py
+++ b/foxtailway/sidecar/settings.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from foxtailway.traffic.reader_roles import HostCapacity
+from foxtailway.traffic.registry_access import DEFAULT_HEARTBEAT_S
 
 __all__ = ["Endpoint", "SidecarSettings"]
 
@@ -48,6 +49,8 @@
     max_buffered_size : int
         Largest sum of the bodies of all responses that are received at a time, in
         bytes.
+    heartbeat_s : float, default=DEFAULT_HEARTBEAT_S
+        Interval at which upstreams renew their registry entries, in seconds.
     is_first_start : bool, default=False
         Whether all sidecars start for the first time, so that none has a
         configuration.
@@ -70,4 +73,5 @@
     retry_window_s: float
     max_response_size: int
     max_buffered_size: int
+    heartbeat_s: float = DEFAULT_HEARTBEAT_S
     is_first_start: bool = False
--- a/foxtailway/sidecar/tests/test_update_exchange.py
+++ b/foxtailway/sidecar/tests/test_update_exchange.py
@@ -22,12 +22,13 @@
 from foxtailway.traffic.configuration import ClientLimits, TrafficConfiguration
 from foxtailway.traffic.configuration_change import ConfigurationChange
 from foxtailway.traffic.membership import (
-    RECOVERY_PERIOD_S,
+    REGISTRATION_GRACE_S,
     Membership,
     Upstream,
     UpstreamState,
 )
 from foxtailway.traffic.reader_roles import HostCapacity, ReaderRoles, ReaderTimings
+from foxtailway.traffic.registry_access import RegistryAccess
 from foxtailway.traffic.registry_change import RegistryChange
 from foxtailway.traffic.tests.builders import make_route, make_upstream
 
@@ -94,6 +95,7 @@
         self.exchange = UpdateExchange(
             address=address,
             membership=self.membership,
+            access=RegistryAccess(),
             roles=self.roles,
             peers=self,
             apply=lambda configuration: self.applied.append(configuration.version),
@@ -289,6 +291,7 @@
         exchange = UpdateExchange(
             address="10.0.0.99",
             membership=Membership(),
+            access=RegistryAccess(),
             roles=self.reader.roles,
             peers=self.reader,
             apply=lambda _configuration: None,
@@ -330,20 +333,41 @@
 
     async def test_entries_removed_after_an_outage_are_kept_for_a_while(self) -> None:
         now = self.reader.exchange.loop.time()
-        self.reader.membership.record_registry_failure(now)
+        self.reader.exchange.record_gap(now - 10.0, now)
         self.reader.exchange.publish_change(make_change(10, 11, removed=("u-4",)), 0.0)
         self.assert_all(lambda node: "u-4" in node.membership.expired, True)
 
+    async def test_upstream_that_left_after_a_failed_call_is_removed(self) -> None:
+        """One broken connection of the reader is no outage of the store.
+
+        All sidecars kept an upstream that had left beyond its drain.
+        """
+        now = self.reader.exchange.loop.time()
+        self.reader.exchange.record_gap(now - 0.5, now)
+        self.reader.exchange.publish_change(make_change(10, 11, removed=("u-4",)), 0.0)
+        self.assert_all(lambda node: "u-4" in node.membership.upstreams, False)
+
+    async def test_removal_is_judged_by_the_node_that_read_it(self) -> None:
+        """The outage of one node doesn't apply to what another one reads."""
+        now = self.reader.exchange.loop.time()
+        for node in self.followers:
+            node.exchange.record_gap(now - 10.0, now)
+        self.reader.exchange.publish_change(make_change(10, 11, removed=("u-4",)), 0.0)
+        self.assert_all(lambda node: "u-4" in node.membership.upstreams, False)
+
     async def test_updates_after_an_outage_do_not_extend_the_recovery_period(
         self,
     ) -> None:
-        now = self.reader.exchange.loop.time()
-        self.reader.membership.record_registry_failure(now - RECOVERY_PERIOD_S + 0.5)
+        ended_at = self.reader.exchange.loop.time() - REGISTRATION_GRACE_S + 0.5
+        self.reader.exchange.record_gap(ended_at - 10.0, ended_at)
         self.reader.exchange.publish_change(make_change(10, 11), 0.0)
+        now = self.reader.exchange.loop.time()
+        self.assert_all(lambda node: node.membership.is_recovering(now), True)
         self.assert_all(lambda node: node.membership.is_recovering(now + 1.0), False)
 
     async def test_expired_entry_is_not_sent_in_a_listing(self) -> None:
-        self.reader.membership.record_registry_failure(self.reader.exchange.loop.time())
+        now = self.reader.exchange.loop.time()
+        self.reader.exchange.record_gap(now - 10.0, now)
         self.reader.exchange.publish_change(make_change(10, 11, removed=("u-4",)), 0.0)
         new_node = Node(self.followers[0].address, self.network)
         self.network.nodes[new_node.address] = new_node
--- a/foxtailway/sidecar/update_exchange.py
+++ b/foxtailway/sidecar/update_exchange.py
@@ -1,7 +1,7 @@
 """Replication of the registry and the configuration between sidecars."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 
 from foxtailway.sidecar.log import EventLog
@@ -26,6 +26,7 @@
 )
 from foxtailway.traffic.membership import Membership
 from foxtailway.traffic.reader_roles import ReaderRoles, RemoteReader
+from foxtailway.traffic.registry_access import RegistryAccess
 from foxtailway.traffic.registry_change import RegistryChange
 
 __all__ = ["UpdateExchange"]
@@ -59,6 +60,9 @@
         IP address of this host.
     membership : Membership
         Known upstreams.
+    access : RegistryAccess
+        Times in which this node did not reach the store. What another node reads is
+        judged by the access of that node, which its updates contain.
     roles : ReaderRoles
         Decides which node is a reader and which nodes follow it.
     peers : PeerPool
@@ -97,6 +101,7 @@
         *,
         address: str,
         membership: Membership,
+        access: RegistryAccess,
         roles: ReaderRoles,
         peers: PeerPool,
         apply: Callable[[TrafficConfiguration], None],
@@ -105,6 +110,7 @@
     ) -> None:
         self.address = address
         self.membership = membership
+        self.access = access
         self.roles = roles
         self.peers = peers
         self.apply = apply
@@ -151,6 +157,7 @@
         """
         previous = self.configuration
         followers = self.list_followers()
+        self.membership.regained_at = self.access.find_recovery(self.loop.time())
         is_changed = self.apply_locally(change)
         self.up_to_date_at = self.loop.time() - age_s
         update = None
@@ -195,6 +202,17 @@
         now = self.loop.time()
         return self.roles.list_followers(now) if self.roles.is_reader(now) else ()
 
+    def record_gap(self, started_at: float, ended_at: float) -> None:
+        """Record that this node did not reach the store, and judge entries by it.
+
+        Parameters
+        ----------
+        started_at, ended_at : float
+            Monotonic times in seconds.
+        """
+        self.access.record_gap(started_at, ended_at)
+        self.membership.regained_at = self.access.find_recovery(ended_at)
+
     def broadcast_age(self) -> None:
         """Send the followers the current age of this node's state."""
         followers = self.list_followers()
@@ -273,7 +291,7 @@
             is_listing=base_revision is None,
             version=self.version,
             age_ms=measure_age_ms(self.up_to_date_at, now),
-            failure_age_ms=measure_age_ms(self.membership.failed_at, now),
+            failure_age_ms=measure_age_ms(self.membership.regained_at, now),
             members=b"" if members == NO_MEMBERSHIP_CHANGE else pack(members),
             change=change,
         )
@@ -326,8 +344,8 @@
         send_reply : callable
             Sends a message back to the reader.
         """
-        failed_at = self.loop.time() - update.failure_age_ms / 1000
-        self.membership.record_registry_failure(failed_at)
+        regained_at = self.loop.time() - update.failure_age_ms / 1000
+        self.membership.regained_at = regained_at
         change = self.decode_update(update)
         is_changed = change is not None and self.apply_locally(change)
         is_complete = change is not None and update.version <= self.version
@@ -412,9 +430,12 @@
         is_listing = change.base_revision is None
         is_changed = is_listing or bool(change.upstreams or change.removed)
         if is_listing:
+            listed = {upstream.upstream_id for upstream in change.upstreams}
+            removed = self.membership.upstreams.keys() - listed
+            self.log_changes(change, sorted(removed - self.membership.expired.keys()))
             self.membership.replace_all(change.upstreams, now)
         elif is_changed:
-            self.log_changes(change)
+            self.log_changes(change, change.removed)
             self.membership.update(change.upstreams, change.removed, now)
         self.revision = max(self.revision or 0, change.revision)
         if change.configuration is not None:
@@ -437,8 +458,12 @@
         while self.waiting:
             self.send_listing(self.waiting.pop())
 
-    def log_changes(self, change: RegistryChange) -> None:
-        """Log the upstreams that are added, removed or in a new state."""
+    def log_changes(self, change: RegistryChange, removed: Iterable[str]) -> None:
+        """Log the upstreams that are added, removed or in a new state.
+
+        A removal is logged with the time for which the upstream stays available.
+        """
+        grace_s = max(0.0, self.membership.grace_ends_at - self.loop.time())
         known = self.membership.upstreams
         for upstream in change.upstreams:
             registered = known.get(upstream.upstream_id)
@@ -451,9 +476,12 @@
                 address=upstream.address,
                 revision=change.revision,
             )
-        for upstream_id in change.removed:
+        for upstream_id in removed:
             self.log.write(
-                "upstream_removed", upstream=upstream_id, revision=change.revision
+                "upstream_removed",
+                upstream=upstream_id,
+                revision=change.revision,
+                grace_s=round(grace_s, 3),
             )
 
 
--- a/foxtailway/traffic/membership.py
+++ b/foxtailway/traffic/membership.py
@@ -6,14 +6,11 @@
 
 __all__ = ["Membership", "Upstream", "UpstreamState"]
 
-# Grace period of entries that expired during an outage; upstreams register again
-# within this time.
+# Time after the end of an outage of the registry in which missing entries count as
+# expired; upstreams register again within about two seconds.
 REGISTRATION_GRACE_S = 2.3
 # Largest number of identifiers of removed upstreams that are retained.
 MAX_REMOVED_IDS = 1_000
-# Time after a registry failure in which a removed entry may be a consequence of the
-# failure.
-RECOVERY_PERIOD_S = 3.0
 
 
 class UpstreamState(Enum):
@@ -107,15 +104,18 @@
         time in seconds.
     removed_ids : dict of str to None
         Identifiers of removed upstreams, in order of removal.
+    regained_at : float
+        Monotonic time in seconds at which the registry was regained after an outage
+        in which entries may have expired; minus infinity for none.
 
     Notes
     -----
     A removal takes effect at once while the registry works. An upstream whose entry
-    is removed within `RECOVERY_PERIOD_S` of a registry failure stays available for
-    `REGISTRATION_GRACE_S`, since it may only have been unable to renew its entry. The
-    entry of an upstream that ended without notice stays for several heartbeats; it is
-    dropped as soon as a newer upstream registers at its endpoint. The argument `now`
-    of the methods is the monotonic time in seconds.
+    is removed after an outage stays available until `REGISTRATION_GRACE_S` after its
+    end, since it may only have been unable to renew its entry. `RegistryAccess` tells
+    an outage from a failed call. The entry of an upstream that ended without notice
+    stays for several heartbeats; it is dropped as soon as a newer upstream registers
+    at its endpoint. The argument `now` of the methods is the monotonic time in seconds.
     """
 
     def __init__(self) -> None:
@@ -123,15 +123,16 @@
         self.expired: dict[str, float] = {}
         self.removed_ids: dict[str, None] = {}
         self.by_service: dict[str, tuple[Upstream, ...]] = {}
-        self.failed_at = float("-inf")
+        self.regained_at = float("-inf")
 
-    def record_registry_failure(self, now: float) -> None:
-        """Record that the registry could not be read at `now`."""
-        self.failed_at = max(self.failed_at, now)
+    @property
+    def grace_ends_at(self) -> float:
+        """Monotonic time until which upstreams without an entry stay available."""
+        return self.regained_at + REGISTRATION_GRACE_S
 
     def is_recovering(self, now: float) -> bool:
-        """Return whether entries may be missing because the registry failed."""
-        return now - self.failed_at < RECOVERY_PERIOD_S
+        """Return whether entries may be missing because of an outage."""
+        return now < self.grace_ends_at
 
     def list_registered(self) -> tuple[Upstream, ...]:
         """Return the upstreams whose registry entry has not expired."""
@@ -168,11 +169,11 @@
         self.rebuild_index()
 
     def remove(self, upstream_id: str, now: float) -> None:
-        """Remove an upstream, or start its grace period after a registry failure."""
+        """Remove an upstream, or start its grace period after an outage."""
         if upstream_id not in self.upstreams:
             return
         if self.is_recovering(now):
-            self.expired.setdefault(upstream_id, now + REGISTRATION_GRACE_S)
+            self.expired.setdefault(upstream_id, self.grace_ends_at)
             return
         self.drop(upstream_id)
         self.rebuild_index()
--- /dev/null
+++ b/foxtailway/traffic/registry_access.py
@@ -0,0 +1,82 @@
+"""Times without access to the registry, after which entries may be missing."""
+
+__all__ = ["DEFAULT_HEARTBEAT_S", "RegistryAccess"]
+
+# Interval at which upstreams renew their registry entries, unless configured.
+DEFAULT_HEARTBEAT_S = 1.5
+# Heartbeats without a renewal after which the registry removes an entry.
+N_EXPIRY_HEARTBEATS = 3.0
+# Longest time between two renewals, in heartbeats; the interval is approximate.
+MAX_RENEWAL_HEARTBEATS = 1.25
+# Time after the end of an outage within which an upstream renews its entry.
+REGISTRATION_TIME_S = 2.0
+
+
+class RegistryAccess:
+    """Decides whether entries may be missing because the registry failed.
+
+    An upstream whose entry is removed has left, or could not renew the entry. The
+    second takes an outage in which several renewals failed. A call that fails, or one
+    broken connection, is no evidence of such an outage: it is known only that nobody
+    reached the registry between two successful calls.
+
+    Parameters
+    ----------
+    heartbeat_s : float, default=DEFAULT_HEARTBEAT_S
+        Interval at which upstreams renew their entries, in seconds.
+
+    Attributes
+    ----------
+    lost_at : float
+        Monotonic time at which the last outage began, in seconds.
+    regained_at : float
+        Monotonic time at which it ended, in seconds; it grows while it lasts.
+    """
+
+    def __init__(self, *, heartbeat_s: float = DEFAULT_HEARTBEAT_S) -> None:
+        self.heartbeat_s = heartbeat_s
+        self.lost_at = float("-inf")
+        self.regained_at = float("-inf")
+
+    @property
+    def min_expiry_s(self) -> float:
+        """Shortest time from the start of an outage to the first expiry, in seconds."""
+        return (N_EXPIRY_HEARTBEATS - MAX_RENEWAL_HEARTBEATS) * self.heartbeat_s
+
+    @property
+    def min_outage_s(self) -> float:
+        """Length from which an outage can make entries expire, in seconds."""
+        return max(0.0, self.min_expiry_s - REGISTRATION_TIME_S)
+
+    def record_gap(self, started_at: float, ended_at: float) -> None:
+        """Record that the registry was not read successfully for a time.
+
+        Parameters
+        ----------
+        started_at, ended_at : float
+            Monotonic times of the successful calls before and after, in seconds.
+        """
+        if ended_at - started_at <= self.min_outage_s:
+            return
+        if started_at - self.regained_at < MAX_RENEWAL_HEARTBEATS * self.heartbeat_s:
+            # Some upstreams have had no chance to renew their entries in between.
+            started_at = min(started_at, self.lost_at)
+        self.lost_at = started_at
+        self.regained_at = ended_at
+
+    def find_recovery(self, now: float) -> float:
+        """Return the end of the outage in which an entry that is missing may be lost.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        float
+            Monotonic time in seconds; minus infinity if no entry can have expired yet.
+        """
+        if now - self.lost_at < self.min_expiry_s:
+            return float("-inf")
+        return self.regained_at
--- a/foxtailway/traffic/tests/test_membership.py
+++ b/foxtailway/traffic/tests/test_membership.py
@@ -27,15 +27,24 @@
         self.assertTrue(self.membership.is_leaving("u-1"))
 
     def test_entry_that_expired_in_an_outage_has_a_grace_period(self) -> None:
-        self.membership.record_registry_failure(99.0)
+        self.membership.regained_at = 99.0
         self.membership.remove("u-1", 100.0)
-        self.membership.remove_expired(100.0 + REGISTRATION_GRACE_S - 0.1)
+        self.membership.remove_expired(99.0 + REGISTRATION_GRACE_S - 0.1)
         self.assertTrue(self.is_ready())
-        self.membership.remove_expired(100.0 + REGISTRATION_GRACE_S)
+        self.membership.remove_expired(99.0 + REGISTRATION_GRACE_S)
+        self.assertFalse(self.is_ready())
+
+    def test_grace_period_ends_with_the_time_to_register_again(self) -> None:
+        """An upstream that leaves after an outage must not be kept beyond its drain.
+
+        Its entry is removed when all live upstreams have had the time to register.
+        """
+        self.membership.regained_at = 100.0 - REGISTRATION_GRACE_S
+        self.membership.remove("u-1", 100.0)
         self.assertFalse(self.is_ready())
 
     def test_entry_registered_again_in_the_grace_period_stays(self) -> None:
-        self.membership.record_registry_failure(99.0)
+        self.membership.regained_at = 99.0
         self.membership.replace_all((), 100.0)
         self.membership.put(make_upstream(sequence=5))
         self.membership.remove_expired(200.0)
--- /dev/null
+++ b/foxtailway/traffic/tests/test_registry_access.py
@@ -0,0 +1,59 @@
+from unittest import TestCase
+
+from foxtailway.traffic.registry_access import RegistryAccess
+
+NEVER = float("-inf")
+
+
+class RegistryAccessTest(TestCase):
+    """What tells an upstream that left from one whose entry expired in an outage."""
+
+    def setUp(self) -> None:
+        self.access = RegistryAccess(heartbeat_s=1.5)
+
+    def test_failed_call_is_no_outage(self) -> None:
+        """Pattern: one watch of the reader is cut, then an upstream leaves."""
+        self.access.record_gap(100.0, 100.55)
+        for now in (100.55, 101.0, 102.7, 103.0):
+            self.assertEqual(self.access.find_recovery(now), NEVER)
+
+    def test_nothing_expires_before_three_heartbeats_of_silence(self) -> None:
+        """Pattern: the reader fails twice, then an upstream leaves."""
+        self.access.record_gap(100.0, 101.2)
+        self.assertEqual(self.access.find_recovery(101.3), NEVER)
+        self.assertEqual(self.access.find_recovery(103.0), 101.2)
+
+    def test_entries_may_be_missing_after_an_outage(self) -> None:
+        """Pattern: the store is down for longer than entries live."""
+        self.access.record_gap(100.0, 104.5)
+        self.assertEqual(self.access.find_recovery(104.5), 104.5)
+
+    def test_outage_that_lasts_grows(self) -> None:
+        for ended_at in (100.2, 101.0, 103.0, 108.0):
+            self.access.record_gap(100.0, ended_at)
+        self.assertEqual(self.access.lost_at, 100.0)
+        self.assertEqual(self.access.find_recovery(108.0), 108.0)
+
+    def test_outages_without_time_to_renew_in_between_are_one(self) -> None:
+        """Pattern: the store fails again as soon as it has returned."""
+        self.access.record_gap(100.0, 102.0)
+        self.access.record_gap(102.3, 103.3)
+        self.assertEqual(self.access.lost_at, 100.0)
+        self.assertEqual(self.access.find_recovery(103.3), 103.3)
+
+    def test_outages_with_time_to_renew_in_between_are_apart(self) -> None:
+        self.access.record_gap(100.0, 101.0)
+        self.access.record_gap(104.0, 105.0)
+        self.assertEqual(self.access.lost_at, 104.0)
+        self.assertEqual(self.access.find_recovery(105.0), NEVER)
+
+    def test_series_of_broken_connections_is_no_outage(self) -> None:
+        """Pattern: connections of the reader are reset every second."""
+        for second in range(100, 120):
+            self.access.record_gap(float(second), second + 0.5)
+            self.assertEqual(self.access.find_recovery(second + 0.5), NEVER)
+
+    def test_slower_heartbeats_need_a_longer_outage(self) -> None:
+        slow = RegistryAccess(heartbeat_s=4.0)
+        slow.record_gap(100.0, 104.5)
+        self.assertEqual(slow.find_recovery(106.0), NEVER)
