Tell all sidecars which requests crash upstreams

Cause: the sidecar of a crashed upstream told the peers with a stream to it, and calls stay in their zone, so each zone counted from zero. Each quarantine had the same 30 s, after which the request crashed the next upstream, and 60 s after its last crash it was forgotten.

The same cause on related paths: a restarted sidecar knew no crash.

Change: CrashExchange. Answers are the evidence against it: those that see one, also the sidecar beside the upstream, don't count the next crash of that request.

--- a/foxtailway/routing/quarantine.py
+++ b/foxtailway/routing/quarantine.py
@@ -59,6 +59,9 @@
         requests.
     success_s : float, default=60.0
         Time in which a success counts as recent, in seconds.
+    suspect_s : float, default=SUSPECT_LIFETIME_S
+        Shortest time for which a suspect request is remembered after a loss, in
+        seconds.
 
     Notes
     -----
@@ -78,11 +81,17 @@
     """
 
     def __init__(
-        self, *, host_id: str, max_entries: int = 10_000, success_s: float = 60.0
+        self,
+        *,
+        host_id: str,
+        max_entries: int = 10_000,
+        success_s: float = 60.0,
+        suspect_s: float = SUSPECT_LIFETIME_S,
     ) -> None:
         self.host_id = host_id
         self.max_entries = max_entries
         self.success_s = success_s
+        self.suspect_s = suspect_s
         self.successes: OrderedDict[str, float] = OrderedDict()
         self.suspects: OrderedDict[str, Suspect] = OrderedDict()
 
@@ -178,7 +187,7 @@
         is_exempt = self.is_trusted(request_fingerprint, now)
         self.successes.pop(request_fingerprint, None)
         suspect = self.find_or_add_suspect(request_fingerprint, now)
-        suspect.expires_at = now + max(SUSPECT_LIFETIME_S, quarantine_s)
+        suspect.expires_at = now + max(self.suspect_s, quarantine_s)
         if is_exempt:
             return False
         suspect.crashed_hosts.add(crashed_host_id)
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -9,6 +9,7 @@
 
 from foxtailway.common.clock import MonotonicClock
 from foxtailway.sidecar.attempt_sender import AttemptSender
+from foxtailway.sidecar.crash_exchange import CrashExchange
 from foxtailway.sidecar.crash_guard import CrashGuard
 from foxtailway.sidecar.dispatcher import RequestDispatcher
 from foxtailway.sidecar.http_listener import HttpListener
@@ -118,7 +119,8 @@
         self.peers = PeerPool(
             port=settings.peer_listener.port,
             codec=codec,
-            guard=self.guard,
+            on_crash=self.handle_crash,
+            list_crashes=self.list_crashes,
             on_listing_request=self.handle_listing_request,
             log=log,
         )
@@ -155,6 +157,16 @@
             on_update=self.exchange.receive_update,
             on_reader_announcement=self.exchange.receive_announcement,
             on_listing_request=self.handle_listing_request,
+            on_crash=self.handle_crash,
+            list_crashes=self.list_crashes,
+            log=log,
+        )
+        self.crashes = CrashExchange(
+            guard=self.guard,
+            roles=self.roles,
+            send_to_connected=self.peer_listener.broadcast,
+            send_to_hosts=self.peers.broadcast,
+            read_time=self.loop.time,
             log=log,
         )
         self.metrics = SidecarMetrics(read_gauges=self.read_gauges)
@@ -267,17 +279,16 @@
         )
 
     def report_crash(self, request_fingerprint: str, upstream_id: str) -> None:
-        """Record, broadcast and log a crash of the local upstream during a request."""
-        is_quarantined = self.guard.record_crash(request_fingerprint, upstream_id)
-        self.peer_listener.broadcast(
-            PeerCrash(fingerprint=request_fingerprint, upstream_id=upstream_id)
-        )
-        self.log.write(
-            "upstream_crashed",
-            upstream=upstream_id,
-            fingerprint=request_fingerprint,
-            is_quarantined=is_quarantined,
-        )
+        """Report a crash of the local upstream during a request."""
+        self.crashes.report(request_fingerprint, upstream_id)
+
+    def handle_crash(self, notice: PeerCrash) -> None:
+        """Apply the crash notice of a peer."""
+        self.crashes.receive(notice)
+
+    def list_crashes(self) -> list[PeerCrash]:
+        """Return the crash notices for a new stream."""
+        return self.crashes.list_recent()
 
     def read_gauges(self) -> dict[str, float]:
         """Return the current values of the gauges by name."""
--- a/foxtailway/sidecar/peer_listener.py
+++ b/foxtailway/sidecar/peer_listener.py
@@ -1,7 +1,7 @@
 """Server for requests of other sidecars to the upstream on this host."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import Any
 
@@ -12,6 +12,7 @@
 from foxtailway.sidecar.peer_message import (
     PeerBodyPart,
     PeerCancel,
+    PeerCrash,
     PeerGoAway,
     PeerListingRequest,
     PeerPing,
@@ -52,6 +53,10 @@
         Called with each announcement of a reader of another region.
     on_listing_request : callable
         Called with the request of a peer for a listing.
+    on_crash : callable
+        Called with each crash notice of a peer.
+    list_crashes : callable
+        Returns the crash notices that a peer gets on a new stream.
     log : EventLog
         Event log.
     """
@@ -66,11 +71,15 @@
         on_update: Callable[[PeerUpdate, Callable[[object], None]], None],
         on_reader_announcement: Callable[[PeerReaderAnnouncement], None],
         on_listing_request: Callable[[PeerListingRequest], None],
+        on_crash: Callable[[PeerCrash], None],
+        list_crashes: Callable[[], Iterable[PeerCrash]],
         log: EventLog,
     ) -> None:
         self.on_update = on_update
         self.on_reader_announcement = on_reader_announcement
         self.on_listing_request = on_listing_request
+        self.on_crash = on_crash
+        self.list_crashes = list_crashes
         self.log = log
         self.runner = runner
         self.codec = codec
@@ -96,8 +105,10 @@
         return sum(len(tasks) for tasks in self.streams.values())
 
     def stream_opened(self, stream: PeerStream) -> None:
-        """Register the stream; after a go-away, the new peer gets one too."""
+        """Register the stream and send the crash notices and go-away in force."""
         self.streams[stream] = {}
+        for notice in self.list_crashes():
+            stream.send(notice)
         if self.is_leaving:
             stream.send(PeerGoAway(address=self.address))
 
@@ -124,6 +135,8 @@
                 self.on_reader_announcement(message)
             case PeerListingRequest():
                 self.on_listing_request(message)
+            case PeerCrash():
+                self.on_crash(message)
             case PeerPing():
                 stream.send(PeerPong(sequence=message.sequence))
             case _:
--- a/foxtailway/sidecar/peer_pool.py
+++ b/foxtailway/sidecar/peer_pool.py
@@ -14,7 +14,6 @@
     UpstreamCall,
     UpstreamResponse,
 )
-from foxtailway.sidecar.crash_guard import CrashGuard
 from foxtailway.sidecar.http_message import Response
 from foxtailway.sidecar.log import EventLog
 from foxtailway.sidecar.peer_message import (
@@ -202,9 +201,15 @@
         return min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2**self.n_connect_failures)
 
     def stream_opened(self, stream: PeerStream) -> None:
-        """Register the stream, reset the backoff and send the waiting messages."""
+        """Register the stream, reset the backoff and send the waiting messages.
+
+        On the first stream to a peer, the recent crash notices go before them.
+        """
         self.streams[stream] = {}
         self.n_connect_failures = 0
+        if len(self.streams) == 1:
+            for notice in self.pool.list_crashes():
+                stream.send(notice)
         for encoded in self.waiting:
             stream.write(encoded)
         self.waiting.clear()
@@ -223,7 +228,7 @@
             case PeerGoAway():
                 self.leaving.add(stream)
             case PeerCrash():
-                self.pool.guard.record_crash(message.fingerprint, message.upstream_id)
+                self.pool.on_crash(message)
             case PeerListingRequest():
                 self.pool.on_listing_request(message)
             case PeerPong():
@@ -338,8 +343,10 @@
         Port on which every sidecar accepts streams.
     codec : MessageSchemas
         Codec of the messages.
-    guard : CrashGuard
-        Records the crashes that peers report.
+    on_crash : callable
+        Called with each crash notice of a peer.
+    list_crashes : callable
+        Returns the crash notices that a peer gets on its first stream.
     on_listing_request : callable
         Called with the request of a peer for a listing.
     log : EventLog
@@ -351,11 +358,13 @@
         *,
         port: int,
         codec: MessageSchemas,
-        guard: CrashGuard,
+        on_crash: Callable[[PeerCrash], None],
+        list_crashes: Callable[[], Iterable[PeerCrash]],
         on_listing_request: Callable[[PeerListingRequest], None],
         log: EventLog,
     ) -> None:
-        self.guard = guard
+        self.on_crash = on_crash
+        self.list_crashes = list_crashes
         self.on_listing_request = on_listing_request
         self.port = port
         self.codec = codec
--- a/foxtailway/sidecar/tests/test_peers.py
+++ b/foxtailway/sidecar/tests/test_peers.py
@@ -76,6 +76,9 @@
     async def asyncSetUp(self) -> None:
         self.runner = BlockingRunner()
         self.updates: list[PeerUpdate] = []
+        self.received_crashes: list[PeerCrash] = []
+        self.listener_crashes: list[PeerCrash] = []
+        self.pool_crashes: list[PeerCrash] = []
         self.guard = CrashGuard(host_id="host-1", clock=ManualClock())
         codec = make_peer_codec()
         self.listener = PeerListener(
@@ -86,6 +89,8 @@
             on_update=self.receive_update,
             on_reader_announcement=lambda _message: None,
             on_listing_request=lambda request: self.listing_requests.append(request),
+            on_crash=self.received_crashes.append,
+            list_crashes=lambda: self.listener_crashes,
             log=make_log(),
         )
         await self.listener.listen(port=0)
@@ -95,7 +100,10 @@
         self.pool = PeerPool(
             port=port,
             codec=codec,
-            guard=self.guard,
+            on_crash=lambda notice: self.guard.record_crash(
+                notice.fingerprint, notice.upstream_id
+            ),
+            list_crashes=lambda: self.pool_crashes,
             on_listing_request=self.listing_requests.append,
             log=make_log(),
         )
@@ -256,6 +264,20 @@
         await wait_until(lambda: "f" in suspects)
         await wait_until(lambda: len(suspects["f"].crashed_hosts) == 2)
 
+    async def test_crash_notice_reaches_a_peer_that_makes_no_calls(self) -> None:
+        notice = PeerCrash(fingerprint="f", upstream_id="u-1")
+        self.pool.broadcast(("127.0.0.1",), notice)
+        await wait_until(lambda: self.received_crashes == [notice])
+
+    async def test_new_stream_exchanges_the_recent_crashes(self) -> None:
+        """A restarted sidecar must not let a harmful request through again."""
+        notice = PeerCrash(fingerprint="f", upstream_id="u-1")
+        self.pool_crashes.append(notice)
+        self.listener_crashes.append(PeerCrash(fingerprint="g", upstream_id="u-2"))
+        self.pool.send("127.0.0.1", make_update())
+        await wait_until(lambda: self.received_crashes == [notice])
+        await wait_until(lambda: "g" in self.guard.containment.suspects)
+
     async def test_update_reaches_a_peer_and_its_reply_comes_back(self) -> None:
         update = make_update()
         self.pool.send("127.0.0.1", update)
--- a/foxtailway/sidecar/upstream_runner.py
+++ b/foxtailway/sidecar/upstream_runner.py
@@ -64,7 +64,7 @@
     membership : Membership
         Known upstreams.
     guard : CrashGuard
-        Tells which requests are quarantined.
+        Tells which requests are quarantined; records those that are answered.
     on_crash : callable
         Called with the fingerprint of a request and the identifier of the
         upstream that crashed while running it.
@@ -410,6 +410,7 @@
                 "answer_without_seal", call.request_id, status=received.status
             )
             return self.make_refusal(RefusalReason.LOST, is_offered=True)
+        self.guard.record_success(call.method, call.target, call.body)
         return UpstreamResponse(
             response=Response(
                 status=received.status,
--- a/foxtailway/traffic/reader_roles.py
+++ b/foxtailway/traffic/reader_roles.py
@@ -174,7 +174,10 @@
         Position of this node in the order in which nodes become the reader, 0 for the
         first; None while its host is not registered, unless it still is the reader.
     peers : tuple of str
-        Addresses of the region's other hosts.
+        Addresses of the region's other hosts, in the order of the ranking.
+    position : int or None
+        Position of this host in that order, whatever its capacity and state; None if
+        it is not registered.
     confirmed_at : float
         Monotonic time up to which the state of this node is confirmed, by its own
         listing or by a reader, in seconds.
@@ -220,6 +223,7 @@
         self.timings = timings
         self.rank: int | None = None
         self.peers: tuple[str, ...] = ()
+        self.position: int | None = None
         self.confirmed_at = float("-inf")
         self.preferred_confirmed_at = float("-inf")
         self.remote_confirmed_at = float("-inf")
@@ -269,12 +273,14 @@
         self.seeds = ()
         if self.address not in seeds:
             self.seeds = rank_names(self.address, seeds)
+        self.position = None
         if self.address not in addresses:
             self.rank = N_RANK_GROUPS * len(ranking) if was_reader else None
             return
         is_fallback = not self.capacity.is_preferred_reader or is_leaving
         rank_offset = len(ranking) if is_fallback else 0
-        self.rank = rank_offset + ranking.index(self.address)
+        self.position = ranking.index(self.address)
+        self.rank = rank_offset + self.position
 
     def is_reader(self, now: float) -> bool:
         """Return whether this node is the reader of its region."""
@@ -352,13 +358,20 @@
             return current is None or current.address != reader.address
         return False
 
+    def list_remote_readers(self) -> tuple[RemoteReader, ...]:
+        """Return the last known readers of other regions whose host is registered."""
+        return tuple(
+            reader
+            for reader in self.remote_readers.values()
+            if reader.address in self.remote_peers
+        )
+
     def list_followers(self, now: float) -> tuple[str, ...]:
         """Return the addresses that this node updates while it is the reader."""
         remote_followers = tuple(
             reader.address
-            for reader in self.remote_readers.values()
-            if reader.address in self.remote_peers
-            and now - reader.announced_at < ANNOUNCEMENT_TTL_S
+            for reader in self.list_remote_readers()
+            if now - reader.announced_at < ANNOUNCEMENT_TTL_S
             and reader.store_delay_s - self.store_delay_s > DELAY_MARGIN_S
         )
         return self.peers + remote_followers
