Reject registry entries with values that no upstream has

Callers saw: nothing yet here; reported by other operators as machines that stop following the list of upstreams.

Cause: decode_upstream took any integer; packing the update failed after the change had been applied, and the watcher listed the store again with the same error, for ever.

Change: bounds of each field where entries are decoded; errors repeat at most the start of a value; an invalid entry is counted, and logged once for each of its revisions. An upstream that can't be packed is left out of an update and counted.

After: the same entry beside two more odd ones: no error, no listing beyond the first, every version is sent (test_odd_entry_is_logged_once_and_stops_nothing).

--- a/foxtailway/platform/document.py
+++ b/foxtailway/platform/document.py
@@ -5,7 +5,12 @@
 
 import msgpack
 
-from foxtailway.platform.quantity import parse_milliseconds, require_count, require_text
+from foxtailway.platform.quantity import (
+    parse_ip_endpoint,
+    parse_milliseconds,
+    require_count,
+    require_text,
+)
 from foxtailway.traffic.configuration import (
     ClientLimits,
     TrafficConfiguration,
@@ -22,11 +27,17 @@
 # Lowest priority, for routes without one.
 DEFAULT_PRIORITY = 9
 DEFAULT_MAX_ATTEMPTS = 1
+# Largest number of slots of an upstream that is accepted.
+MAX_SLOTS = 65_535
+# Length of a detail in characters; the document may be large.
+MAX_DETAIL_CHARS = 200
 DECODE_ERRORS = (
     ValueError,
     KeyError,
     TypeError,
     AttributeError,
+    OverflowError,
+    RecursionError,
     msgpack.UnpackException,
 )
 
@@ -45,6 +56,7 @@
     """
 
     def __init__(self, *, key: str, detail: str) -> None:
+        detail = detail[:MAX_DETAIL_CHARS]
         super().__init__(f"decode {key}: {detail}")
         self.key = key
         self.detail = detail
@@ -224,6 +236,9 @@
 ) -> Upstream:
     """Return the upstream in a registry entry, or raise `DocumentError`.
 
+    Any writer may leave an entry. Values that no upstream can have, and numbers that
+    don't fit into messages, make it invalid.
+
     Parameters
     ----------
     key : str
@@ -239,14 +254,14 @@
         entry = msgpack.unpackb(content)
         info = entry["info"]
         status = entry["status"]
-        address, _, port = entry["address"].rpartition(":")
+        address, port = parse_ip_endpoint(entry["address"])
         return Upstream(
             upstream_id=upstream_id,
             service=require_text(info["service"]),
-            address=require_text(address),
-            port=int(port),
+            address=address,
+            port=port,
             zone=require_text(info["zone"]),
-            n_slots=require_count(info["slots"]),
+            n_slots=require_count(info["slots"], min_count=1, max_count=MAX_SLOTS),
             state=UPSTREAM_STATES[status["state"]],
             warm_up_s=parse_milliseconds(status.get("cold_remaining", 0)),
             start_time_ms=require_count(entry.get("born", 0)),
--- a/foxtailway/platform/store_watcher.py
+++ b/foxtailway/platform/store_watcher.py
@@ -61,6 +61,8 @@
 SEED_CHECK_INTERVAL_S = 0.02
 # Pause after an unexpected error, which may occur again at once.
 ERROR_PAUSE_S = 0.5
+# Invalid entries that are remembered, which bounds the memory.
+MAX_IGNORED_KEYS = 1_000
 ALL_KEYS = ""
 
 
@@ -94,6 +96,8 @@
         successful call.
     last_call_at : float
         Monotonic time of the last successful call, in seconds; the start before it.
+    ignored : dict of str to int
+        Revision of each invalid registry entry by key, so that an entry is logged once.
     """
 
     def __init__(
@@ -117,6 +121,7 @@
         self.backoff_s = FIRST_BACKOFF_S
         self.outage_started_at: float | None = None
         self.is_access_continuous = False
+        self.ignored: dict[str, int] = {}
         self.last_call_at = self.loop.time()
 
     async def run(self) -> None:
@@ -369,6 +374,7 @@
             if not key.startswith(UPSTREAM_PREFIX):
                 continue
             if item.is_removed:
+                self.ignored.pop(key, None)
                 removed.append(key.removeprefix(UPSTREAM_PREFIX))
                 continue
             upstream = self.decode_upstream(item)
@@ -393,9 +399,19 @@
                 created_revision=item.created_revision,
             )
         except DocumentError as error:
-            self.node.log.write("entry_ignored", error=error, revision=item.revision)
+            self.record_ignored(item, error)
             return None
 
+    def record_ignored(self, item: StoreItem, error: DocumentError) -> None:
+        """Count and log an invalid entry, once for each of its revisions."""
+        if self.ignored.get(item.key) == item.revision:
+            return
+        self.ignored[item.key] = item.revision
+        if len(self.ignored) > MAX_IGNORED_KEYS:
+            del self.ignored[next(iter(self.ignored))]
+        self.exchange.n_ignored_entries += 1
+        self.node.log.write("entry_ignored", error=error, revision=item.revision)
+
     def decode_configuration(
         self, items: Iterable[StoreItem]
     ) -> TrafficConfiguration | None:
--- a/foxtailway/platform/tests/test_document.py
+++ b/foxtailway/platform/tests/test_document.py
@@ -158,6 +158,34 @@
         with self.assertRaises(DocumentError):
             decode_upstream("servers/u-1", "u-1", make_entry(status=status))
 
+    def test_entry_with_values_that_no_upstream_has_is_rejected(self) -> None:
+        """One odd entry of another writer must not reach messages or sockets."""
+        ports = ("70000", "0", "-1", "9" * 20, " 80", "8_0", "\u0668\u0660", "", "0x50")
+        hosts = ("", "0.0.0.0", "224.0.0.1", "10.0.0.256", "records.example", "::")
+        info = {"service": "records", "version": "v1", "zone": "zone-a", "slots": 4}
+        status = {"state": "ready", "sequence": 4, "cold_remaining": 0}
+        cases = (
+            [{"address": f"10.0.0.9:{port}"} for port in ports]
+            + [{"address": f"{host}:80"} for host in hosts]
+            + [{"address": 7}, {"address": None}, {"address": "x" * 100_000}]
+            + [{"info": info | {"slots": n}} for n in (0, -1, 70_000, 2**64 - 1, 1.5)]
+            + [{"status": status | {"sequence": n}} for n in (-1, 2**64 - 1, "4")]
+            + [{"status": status | {"cold_remaining": n}} for n in (-1, 2**64 - 1)]
+            + [{"status": status | {"state": s}} for s in ("gone", 1, None, [])]
+            + [{"born": n} for n in (-1, 2**64 - 1, 1.5, "now", None)]
+        )
+        for changes in cases:
+            with self.subTest(str(changes)[:80]):
+                with self.assertRaises(DocumentError) as raised:
+                    decode_upstream("servers/u", "u", make_entry(**changes))
+                self.assertLess(len(str(raised.exception)), 300)
+
+    def test_deeply_nested_entry_is_rejected(self) -> None:
+        for n_levels in (600, 100_000):
+            content = b"\x91" * n_levels + b"\xc0"
+            with self.assertRaises(DocumentError):
+                decode_upstream("servers/u", "u", content)
+
     def test_malformed_entry_is_rejected(self) -> None:
         for content in (b"", b"\xff\x00", b"\x90", b"\x07"):
             with self.subTest(content), self.assertRaises(DocumentError):
--- a/foxtailway/platform/tests/test_store_watcher.py
+++ b/foxtailway/platform/tests/test_store_watcher.py
@@ -381,6 +381,39 @@
         await wait_until(lambda: self.n_ready == 6)
         self.assertNotIn("foreign", self.node.membership.upstreams)
 
+    async def test_odd_entry_is_logged_once_and_stops_nothing(self) -> None:
+        """An entry of another writer made each reader list the store for ever.
+
+        Its port had no encoding in an update, so no update was sent any more.
+        """
+        await self.start()
+        self.node.roles.rank = 0
+        odd_entries = (
+            make_entry(address="10.0.0.8:99999999999999999999"),
+            make_entry(address="10.0.0.8:70000"),
+            b"\x91" * 50_000 + b"\xc0",
+        )
+        for number, content in enumerate(odd_entries):
+            self.store.put(f"servers/odd-{number}", content)
+        self.store.put("servers/u-9", make_entry(address="10.0.0.8:8080"))
+        await wait_until(lambda: self.n_ready == 6)
+        updates = self.node.peers.updates
+        for version in (4, 5):
+            self.store.put("op/config", make_configuration(version))
+            await wait_until(lambda v=version: self.node.versions[-1] == v)
+            await wait_until(lambda v=version: updates[-1].version == v)
+        self.watcher.is_listing_needed = True
+        n_listings = self.store.calls.count("/v1/kv-range")
+        self.store.put("op/config", make_configuration(6))
+        await wait_until(lambda: self.node.versions[-1] == 6)
+        n_calls = len(self.store.calls)
+        self.store.put("op/config", make_configuration(7))
+        await wait_until(lambda: self.node.versions[-1] == 7)
+        self.assertEqual(self.node.exchange.n_ignored_entries, len(odd_entries))
+        self.assertEqual(self.node.log.n_errors, 0)
+        self.assertNotIn("/v1/kv-range", self.store.calls[n_calls:])
+        self.assertGreater(self.store.calls.count("/v1/kv-range"), n_listings)
+
     async def test_lost_history_leads_to_a_new_listing(self) -> None:
         await self.start()
         self.store.close_connections()
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -295,6 +295,7 @@
         configuration = self.dispatcher.configuration
         return {
             "configuration_version": configuration.version if configuration else 0,
+            "entries_ignored": self.exchange.n_ignored_entries,
             "log_lines_dropped": self.log.n_dropped,
             "unexpected_errors": self.log.n_errors,
             "bodies_receiving": self.runner.n_receiving,
@@ -306,6 +307,7 @@
             "slot_queue": len(self.runner.queue.waiting),
             "upstreams": len(self.membership.upstreams),
             "upstreams_lapsed": len(self.membership.expired),
+            "upstreams_unsent": self.exchange.n_unsent_upstreams,
         }
 
     def reconfigure(self, settings: SidecarSettings) -> None:
--- a/foxtailway/sidecar/tests/test_update_exchange.py
+++ b/foxtailway/sidecar/tests/test_update_exchange.py
@@ -374,6 +374,17 @@
         self.reader.exchange.send_listing(new_node.address)
         self.assertNotIn("u-4", new_node.membership.upstreams)
 
+    async def test_upstream_without_an_encoding_stops_no_update(self) -> None:
+        """One upstream that can't be packed must not stop the updates of others."""
+        odd = make_upstream("odd", address=ADDRESSES[0], sequence=10**20)
+        sound = make_upstream("u-9", address=ADDRESSES[1])
+        change = make_change(10, 11, upstreams=(odd, sound), version=2)
+        self.reader.exchange.publish_change(change, 0.0)
+        for follower in self.followers:
+            self.assertIn("u-9", follower.membership.upstreams)
+            self.assertEqual(follower.exchange.version, 2)
+        self.assertEqual(self.reader.exchange.n_unsent_upstreams, 1)
+
     async def test_malformed_content_changes_nothing(self) -> None:
         follower = self.followers[0]
         update = make_update(
--- a/foxtailway/sidecar/update_exchange.py
+++ b/foxtailway/sidecar/update_exchange.py
@@ -24,7 +24,7 @@
     apply_change,
     compare_configurations,
 )
-from foxtailway.traffic.membership import Membership
+from foxtailway.traffic.membership import Membership, Upstream
 from foxtailway.traffic.reader_roles import ReaderRoles, RemoteReader
 from foxtailway.traffic.registry_access import RegistryAccess
 from foxtailway.traffic.registry_change import RegistryChange
@@ -49,6 +49,8 @@
 # since one of them in place of all routes.
 N_RECENT_CONFIGURATIONS = 8
 NO_MEMBERSHIP_CHANGE = MembershipChange()
+# Errors for values that have no msgpack encoding.
+PACK_ERRORS = (OverflowError, TypeError, ValueError)
 
 
 class UpdateExchange:
@@ -91,6 +93,10 @@
     up_to_date_at : float
         Monotonic time in seconds at which this state was last known to equal the
         state of the store.
+    n_ignored_entries : int
+        Invalid registry entries that this node has read.
+    n_unsent_upstreams : int
+        Upstreams that could not be packed into an update.
     waiting : set of str
         Addresses of the nodes that requested a listing before this node had a
         configuration.
@@ -126,6 +132,8 @@
         self.recent: dict[int, TrafficConfiguration] = {}
         self.applied_at: dict[int, float] = {}
         self.packed_changes: dict[int, bytes] = {}
+        self.n_ignored_entries = 0
+        self.n_unsent_upstreams = 0
         self.waiting: set[str] = set()
 
     @property
@@ -292,10 +300,29 @@
             version=self.version,
             age_ms=measure_age_ms(self.up_to_date_at, now),
             failure_age_ms=measure_age_ms(self.membership.regained_at, now),
-            members=b"" if members == NO_MEMBERSHIP_CHANGE else pack(members),
+            members=self.pack_members(members),
             change=change,
         )
 
+    def pack_members(self, members: MembershipChange) -> bytes:
+        """Return packed changes of upstreams; empty for none.
+
+        An upstream that can't be packed is left out, so that it doesn't stop the
+        updates of all others.
+        """
+        if members == NO_MEMBERSHIP_CHANGE:
+            return b""
+        try:
+            return pack(members)
+        except PACK_ERRORS as error:
+            packable = tuple(item for item in members.upstreams if is_packable(item))
+            n_unsent = len(members.upstreams) - len(packable)
+            if not n_unsent:
+                raise
+            self.n_unsent_upstreams += n_unsent
+            self.log.write_error("pack update", error, detail=f"{n_unsent} left out")
+            return pack(replace(members, upstreams=packable))
+
     def send_listing(self, address: str, version: int = NO_VERSION) -> None:
         """Send a listing to a sidecar; no-op before the first listing of this node.
 
@@ -485,6 +512,15 @@
             )
 
 
+def is_packable(upstream: Upstream) -> bool:
+    """Return whether an upstream can be packed into an update."""
+    try:
+        pack(MembershipChange(upstreams=(upstream,)))
+    except PACK_ERRORS:
+        return False
+    return True
+
+
 def measure_age_ms(since: float, now: float) -> int:
     """Return the time since `since` in milliseconds, at most `MAX_AGE_S`."""
     return int(min(MAX_AGE_S, now - since) * 1000)
