Answer the requests that come late in a planned stop

Callers saw: reported by other operators; requests that came late in the grace time of a stop were taken, passed on, and cut off without an answer at its end. Here with a deadline in the last 0.3 s of the stop at an upstream that is silent.

The sidecar beside an upstream took calls of any length until its go-away. At the end, connections with requests in progress were closed.

Evidence: on the old code, clients of test_request_late_in_a_stop_is_answered read an empty answer.

Change: refuse what may get its final answer after the end, at the entry with 503 and beside the upstream as not run; answer what is left at the end with 502 and log how many.

After: every client reads an answer.

Failed before: test_request_late_in_a_stop_is_answered, test_unfinished_request_is_answered_at_the_end_of_a_stop (both: empty answer).

--- a/foxtailway/sidecar/dispatcher.py
+++ b/foxtailway/sidecar/dispatcher.py
@@ -35,6 +35,9 @@
 UNKNOWN_STATUSES = {RefusalReason.EXPIRED: 504}
 # Statuses after which clients repeat any request: they promise that it didn't run.
 PROMISE_STATUSES = frozenset({408, 421, 429, 503})
+# Longest time from the deadline of a request to its final answer: an upstream and its
+# sidecar report a missed deadline themselves, which a peer sends over the network.
+LAST_ANSWER_S = 0.3
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 
@@ -68,8 +71,8 @@
     Attributes
     ----------
     ends_at : float
-        Monotonic time at which the process ends, in seconds. Requests whose
-        deadline is later are refused.
+        Monotonic time at which the process ends, in seconds. Requests that may get
+        their final answer later are refused.
     """
 
     def __init__(
@@ -189,7 +192,7 @@
                 route.name, request.target, client_deadline
             )
             due_at = due_at if first_due_at is None else first_due_at
-        if deadline > self.ends_at:
+        if deadline + LAST_ANSWER_S > self.ends_at:
             return make_refusal(RefusalReason.DRAINING)
         return RoutedRequest(
             request=request,
--- a/foxtailway/sidecar/http_listener.py
+++ b/foxtailway/sidecar/http_listener.py
@@ -38,7 +38,7 @@
 # Connections that the operating system queues before they are accepted.
 LISTEN_BACKLOG = 1024
 RESPONSE_BAD_REQUEST = Response(status=400)
-# Response after an unexpected error. The request may have run.
+# Response without a result. The request may have run.
 RESPONSE_ERROR = Response(status=502)
 RESPONSE_TIMEOUT = Response(status=408)
 RESPONSE_BODY_TOO_LARGE = Response(status=413)
@@ -232,9 +232,16 @@
             self.idle_since = self.loop.time()
 
     async def handle(self, request: ClientRequest) -> Response:
-        """Return the response of the handler, or 502 after an unexpected error."""
+        """Return the response of the handler, or 502 if there is none.
+
+        That is so after an unexpected error, and at the end of the process.
+        """
         try:
             return await self.listener.handler.handle(request)
+        except asyncio.CancelledError:
+            if not self.listener.is_ending:
+                raise
+            return RESPONSE_ERROR
         except Exception as error:
             self.listener.log.write_error("handle", error, request.request_id)
             return RESPONSE_ERROR
@@ -312,6 +319,8 @@
         Limits in force; they may be replaced while the server runs.
     is_closing : bool
         Whether each response closes its connection.
+    is_ending : bool
+        Whether the requests in progress are answered without a result.
     """
 
     def __init__(
@@ -329,6 +338,7 @@
         self.kept_headers = frozenset({b"host", names.request_id})
         self.connections: set[ClientConnection] = set()
         self.is_closing = False
+        self.is_ending = False
         self.server: asyncio.Server | None = None
         self.socket: socket.socket | None = None
         self.timeout_timer: asyncio.TimerHandle | None = None
@@ -389,6 +399,16 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def answer_all(self) -> None:
+        """Answer the requests in progress with 502, since the process ends.
+
+        Their clients then need not guess whether a connection was lost on the way.
+        """
+        self.is_ending = True
+        for connection in list(self.connections):
+            if connection.response_task is not None:
+                connection.response_task.cancel()
+
     def close(self) -> None:
         """Stop accepting connections and close those that remain."""
         if self.timeout_timer is not None:
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -48,6 +48,9 @@
 # Part of the time of a shutdown that is reserved for the requests of the connections
 # that were accepted last.
 LAST_REQUESTS_S = 0.5
+# Time after the end of a shutdown for the answers to requests that are still in
+# progress. The process is killed later.
+LAST_ANSWERS_S = 0.2
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -352,25 +355,36 @@
     async def stop(self, times: StopTimes) -> None:
         """Shut down gracefully; return when no request is in flight or at the end time.
 
+        Requests that may take longer than the shutdown are refused from its start, so
+        that their clients and peers use other nodes; none is cut off at the end.
+
         The readiness check fails at once, but requests are still accepted for a
         while, since clients and peers need time to notice. On a host whose upstream
         has left, the node serves clients until the end: it won't be started again,
         and clients use nodes that are not ready while many of a zone are stopped.
         """
         self.is_stopping = True
-        self.dispatcher.ends_at = self.loop.time() + times.end_s
+        ends_at = self.loop.time() + times.end_s
+        self.dispatcher.ends_at = self.runner.ends_at = ends_at
         await asyncio.sleep(times.go_away_s)
         self.peer_listener.send_go_away()
         await asyncio.sleep(times.close_idle_s - times.go_away_s)
         self.client_listener.close_idle()
         self.runner.is_stopping = True
-        ends_at = self.dispatcher.ends_at
         await wait_until_idle(
             lambda: self.n_in_flight > 0 or not self.is_upstream_registered,
             ends_at - LAST_REQUESTS_S,
         )
         await self.client_listener.stop_accepting()
         await wait_until_idle(lambda: self.n_in_flight > 0, ends_at)
+        n_unfinished = self.client_listener.n_active_connections
+        if n_unfinished:
+            self.log.write("requests_unfinished", n_requests=n_unfinished)
+            self.client_listener.answer_all()
+            await wait_until_idle(
+                lambda: self.client_listener.n_active_connections > 0,
+                self.loop.time() + LAST_ANSWERS_S,
+            )
         self.tick_timer.cancel()
         await self.exit_stack.aclose()
 
--- a/foxtailway/sidecar/tests/test_end_to_end.py
+++ b/foxtailway/sidecar/tests/test_end_to_end.py
@@ -3,6 +3,7 @@
 from unittest import IsolatedAsyncioTestCase
 from unittest.mock import patch
 
+from foxtailway.routing.outcome import Outcome, RefusalReason
 from foxtailway.sidecar import node as node_module
 from foxtailway.sidecar import peer_pool
 from foxtailway.sidecar.log import EventLog
@@ -17,6 +18,7 @@
     LONG_TIMEOUT_S,
     NAMES,
     ScriptedUpstream,
+    make_call,
     make_log,
     respond,
     respond_after,
@@ -180,6 +182,68 @@
         self.assertGreater(len(answers), len(clients))
         self.assertEqual(set(answers) - {b"HTTP/1.1 200", b"HTTP/1.1 503"}, set())
 
+    async def send_in_stop(self, remaining_ms: int) -> bytes:
+        """Send a request during a planned stop of its node; return the answer."""
+        port = self.entry_node.client_listener.server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        self.addCleanup(writer.close)
+        remaining = b"X-Remaining-Ms: %d" % remaining_ms
+        writer.write(REQUEST.replace(b"X-Remaining-Ms: 60000", remaining))
+        return await reader.read()
+
+    async def test_request_late_in_a_stop_is_answered(self) -> None:
+        """Load pattern: requests come until the end of a stop, upstreams are slow.
+
+        Those with a deadline shortly before the end were passed on and cut off.
+        """
+        end_s = 1.5
+        stop_times = StopTimes(go_away_s=0.0, close_idle_s=0.0, end_s=end_s)
+        silent = [respond_after(asyncio.Event())] * 100
+        async with ScriptedUpstream(*silent) as upstream:
+            await self.start(upstream)
+            # Without an upstream on its host, a node serves clients until the end.
+            self.entry_node.membership.remove(ENTRY_UPSTREAM.upstream_id, 0.0)
+            stop = asyncio.create_task(self.entry_node.stop(stop_times))
+            await wait_until(lambda: self.entry_node.client_listener.is_closing)
+            ends_at = self.entry_node.dispatcher.ends_at
+            clients = []
+            while (left_s := ends_at - asyncio.get_running_loop().time()) > 0.6:
+                for share in (0.5, 0.9, 0.97, 0.99):
+                    task = asyncio.create_task(
+                        self.send_in_stop(int(left_s * share * 1000))
+                    )
+                    clients.append(task)
+                await asyncio.sleep(0.15)
+            answers = [(await task)[:12] for task in clients]
+            await stop
+        # On a slow machine, a deadline may be noticed after the end only.
+        self.assertEqual(
+            set(answers) - {b"HTTP/1.1 502"}, {b"HTTP/1.1 503", b"HTTP/1.1 504"}
+        )
+
+    async def test_unfinished_request_is_answered_at_the_end_of_a_stop(self) -> None:
+        async with ScriptedUpstream(respond_after(asyncio.Event())) as upstream:
+            await self.start(upstream)
+            reader, _ = await self.send()
+            await wait_until(lambda: bool(upstream.requests))
+            stop_times = StopTimes(go_away_s=0.0, close_idle_s=0.0, end_s=0.1)
+            await self.entry_node.stop(stop_times)
+            answer = await reader.read()
+        self.assertTrue(answer.startswith(b"HTTP/1.1 502"), answer)
+
+    async def test_call_that_outlasts_a_stop_is_refused(self) -> None:
+        async with ScriptedUpstream() as upstream:
+            await self.start(upstream)
+            stop = asyncio.create_task(self.upstream_node.stop(STOP_TIMES))
+            node = self.upstream_node
+            await wait_until(lambda: node.runner.ends_at < float("inf"))
+            node.runner.is_stopping = False
+            call = make_call(node.loop.time(), deadline=node.runner.ends_at)
+            result = await node.runner.run(call)
+            self.assertIs(result.reason, RefusalReason.DRAINING)
+            self.assertIs(result.outcome, Outcome.NOT_RUN)
+            await stop
+
     async def test_node_whose_upstream_has_left_serves_clients_until_the_end(
         self,
     ) -> None:
--- a/foxtailway/sidecar/upstream_runner.py
+++ b/foxtailway/sidecar/upstream_runner.py
@@ -79,6 +79,9 @@
         Requests whose bodies are being received; they count as load.
     running_id : str or None
         Identifier of the upstream that last responded; None if unknown.
+    ends_at : float
+        Monotonic time at which the process ends, in seconds. Requests that may run
+        longer are refused.
     """
 
     def __init__(
@@ -108,6 +111,7 @@
         self.waiters: dict[QueuedRequest, asyncio.Future[bool]] = {}
         self.queue_timer: asyncio.TimerHandle | None = None
         self.is_stopping = False
+        self.ends_at = float("inf")
         self.n_limit_errors = 0
         self.n_receiving = 0
 
@@ -158,7 +162,7 @@
 
         Also updates the number of slots from the registry entry of the upstream.
         """
-        if self.is_stopping:
+        if self.is_stopping or call.deadline + RESPONSE_SLACK_S > self.ends_at:
             return RefusalReason.DRAINING
         upstream = self.membership.upstreams.get(call.upstream_id)
         if upstream is not None:
