Stop only when the answers have left the process

Cause: a request counted as in flight until its answer was handed to the transport; the process ended with the rest in its write buffer. The same cause on the related path: results that peers read.

Evidence: on the old code the stop ends while the transport of the client holds bytes.

Change: connections and peers' streams count until their write buffers are empty.

Failed before: test_stop_waits_until_a_slow_client_has_read_its_answer.

--- a/foxtailway/sidecar/dispatcher.py
+++ b/foxtailway/sidecar/dispatcher.py
@@ -35,9 +35,9 @@
 UNKNOWN_STATUSES = {RefusalReason.EXPIRED: 504}
 # Statuses after which clients repeat any request: they promise that it didn't run.
 PROMISE_STATUSES = frozenset({408, 421, 429, 503})
-# Longest time from the deadline of a request to its final answer: an upstream and its
-# sidecar report a missed deadline themselves, which a peer sends over the network.
-LAST_ANSWER_S = 0.3
+# Longest time from the deadline of a request to its final answer. The sidecar beside
+# the upstream reports a missed deadline itself, over the network.
+LAST_ANSWER_S = 0.2
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 
--- a/foxtailway/sidecar/http_listener.py
+++ b/foxtailway/sidecar/http_listener.py
@@ -288,12 +288,23 @@
 
     @property
     def is_active(self) -> bool:
-        """Whether a request is received, processed or probably on its way."""
+        """Whether a request is received, processed, answered or probably on its way.
+
+        A request is in progress until the last byte of its response has left the
+        process, also after the connection was closed for further requests.
+        """
         if self.response_task is not None or self.receiving_since is not None:
             return True
+        if self.is_sending:
+            return True
         age_s = self.loop.time() - self.idle_since
         return not self.n_requests_read and age_s < NEW_CONNECTION_S
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether bytes of a response wait for the client to read."""
+        return self.transport.get_write_buffer_size() > 0
+
     def close_if_idle(self) -> None:
         """Close the connection unless it is active."""
         if not self.is_active:
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -48,8 +48,10 @@
 # Part of the time of a shutdown that is reserved for the requests of the connections
 # that were accepted last.
 LAST_REQUESTS_S = 0.5
-# Time after the end of a shutdown for the answers to requests that are still in
-# progress. The process is killed later.
+# Time after the end of a shutdown for requests at their deadline. The process is killed
+# later.
+LAST_RESULTS_S = 0.1
+# Time after that for the answers to requests without a result.
 LAST_ANSWERS_S = 0.2
 
 
@@ -376,7 +378,7 @@
             ends_at - LAST_REQUESTS_S,
         )
         await self.client_listener.stop_accepting()
-        await wait_until_idle(lambda: self.n_in_flight > 0, ends_at)
+        await wait_until_idle(lambda: self.n_in_flight > 0, ends_at + LAST_RESULTS_S)
         n_unfinished = self.client_listener.n_active_connections
         if n_unfinished:
             self.log.write("requests_unfinished", n_requests=n_unfinished)
@@ -399,8 +401,12 @@
 
     @property
     def n_in_flight(self) -> int:
-        """Number of requests of clients and peers that are in progress."""
-        return self.client_listener.n_active_connections + self.peer_listener.n_running
+        """Number of requests in progress, and of peers that read their results."""
+        return (
+            self.client_listener.n_active_connections
+            + self.peer_listener.n_running
+            + self.peer_listener.n_sending
+        )
 
 
 async def wait_until_idle(is_busy: Callable[[], bool], ends_at: float) -> None:
--- a/foxtailway/sidecar/peer_listener.py
+++ b/foxtailway/sidecar/peer_listener.py
@@ -104,6 +104,11 @@
         """Number of requests of peers that are queued or running."""
         return sum(len(tasks) for tasks in self.streams.values())
 
+    @property
+    def n_sending(self) -> int:
+        """Number of streams with bytes that wait for the peer to read."""
+        return sum(stream.is_sending for stream in self.streams)
+
     def stream_opened(self, stream: PeerStream) -> None:
         """Register the stream and send the crash notices and go-away in force."""
         self.streams[stream] = {}
--- a/foxtailway/sidecar/peer_stream.py
+++ b/foxtailway/sidecar/peer_stream.py
@@ -130,6 +130,11 @@
         if self.is_open and not self.transport.is_closing():
             self.transport.write(encoded)
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether bytes wait for the peer to read."""
+        return self.transport.get_write_buffer_size() > 0
+
     def close_after_flush(self) -> None:
         """Close the stream after the buffered data was sent; idempotent."""
         self.is_open = False
--- a/foxtailway/sidecar/tests/test_end_to_end.py
+++ b/foxtailway/sidecar/tests/test_end_to_end.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 from random import Random
 from unittest import IsolatedAsyncioTestCase
 from unittest.mock import patch
@@ -231,6 +232,37 @@
             answer = await reader.read()
         self.assertTrue(answer.startswith(b"HTTP/1.1 502"), answer)
 
+    async def test_stop_waits_until_a_slow_client_has_read_its_answer(self) -> None:
+        """Load pattern: large answers to clients on slow links, in a planned stop."""
+        body = "x" * 9_000_000
+        async with ScriptedUpstream(respond(body=body)) as upstream:
+            await self.start(upstream)
+            self.upstream_node.runner.pool.apply_limits(
+                max_body_size=2 * len(body), max_buffered_size=4 * len(body)
+            )
+            port = self.entry_node.client_listener.server.sockets[0].getsockname()[1]
+            sock = socket.socket()
+            self.addCleanup(sock.close)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+            sock.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(sock, ("127.0.0.1", port))
+            await loop.sock_sendall(sock, REQUEST)
+            connections = self.entry_node.client_listener.connections
+            await wait_until(lambda: any(item.is_sending for item in connections))
+            stop_times = StopTimes(go_away_s=0.0, close_idle_s=0.0, end_s=30.0)
+            stop = asyncio.create_task(self.entry_node.stop(stop_times))
+            await asyncio.sleep(10 * IDLE_POLL_INTERVAL_S)
+            self.assertFalse(stop.done())
+            n_received = 0
+            while data := await loop.sock_recv(sock, 1_000_000):
+                n_received += len(data)
+                if n_received > len(body):
+                    break
+            async with asyncio.timeout(LONG_TIMEOUT_S):
+                await stop
+        self.assertGreater(n_received, len(body))
+
     async def test_call_that_outlasts_a_stop_is_refused(self) -> None:
         async with ScriptedUpstream() as upstream:
             await self.start(upstream)
