End an exchange at its deadline also without a caller

Cause: the deadline of an exchange was kept by the task that waits for it. If the client leaves first, a request that may not be aborted goes on alone; with its answer lost, it never ends and keeps its slot.

Change: the exchange has a timer from the moment at which the request is sent.

Failed before: test_lost_answer_without_a_caller_frees_its_slot.

--- a/foxtailway/sidecar/http_connection.py
+++ b/foxtailway/sidecar/http_connection.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "ExchangeError",
+    "ExchangeTimeoutError",
     "HttpConnection",
     "ReceivedResponse",
     "ResponseLimitError",
@@ -51,6 +52,10 @@
         self.detail = detail
 
 
+class ExchangeTimeoutError(ExchangeError):
+    """Raised when an exchange has no complete response at its deadline."""
+
+
 class ResponseLimitError(ExchangeError):
     """Raised when a server sends more than `ResponseLimits` allows."""
 
--- a/foxtailway/sidecar/tests/test_upstream_runner.py
+++ b/foxtailway/sidecar/tests/test_upstream_runner.py
@@ -233,6 +233,23 @@
             self.assertEqual(runner.queue.n_busy, 0)
         self.assert_refused(result, Outcome.UNKNOWN, RefusalReason.EXPIRED)
 
+    async def test_lost_answer_without_a_caller_frees_its_slot(self) -> None:
+        """Load pattern: answers are lost, and clients leave at their deadline.
+
+        Each lost answer of a request that isn't idempotent took a slot for good.
+        """
+        async with ScriptedUpstream(respond_after(asyncio.Event())) as upstream:
+            runner = self.make_runner(upstream)
+            deadline = runner.loop.time() + 0.5
+            await self.cancel_while_running(
+                runner, upstream, is_idempotent=False, deadline=deadline
+            )
+            self.assertEqual(runner.queue.n_busy, 1)
+            async with asyncio.timeout(LONG_TIMEOUT_S / 4):
+                await wait_until(lambda: not runner.queue.n_busy)
+            self.assertGreaterEqual(runner.loop.time(), deadline)
+            self.assertEqual(len(runner.pool.idle), 0)
+
     async def test_cancelled_caller_ends_an_idempotent_request(self) -> None:
         async with ScriptedUpstream(respond_after(asyncio.Event())) as upstream:
             runner = self.make_runner(upstream)
--- a/foxtailway/sidecar/upstream_runner.py
+++ b/foxtailway/sidecar/upstream_runner.py
@@ -15,6 +15,7 @@
 from foxtailway.sidecar.crash_guard import CrashGuard
 from foxtailway.sidecar.http_connection import (
     ExchangeError,
+    ExchangeTimeoutError,
     HttpConnection,
     ReceivedResponse,
     ResponseLimitError,
@@ -287,7 +288,11 @@
     def send(
         self, connection: HttpConnection, call: UpstreamCall
     ) -> "asyncio.Future[ReceivedResponse]":
-        """Send a request; its slot is released when the exchange ends."""
+        """Send a request; its slot is released when the exchange ends.
+
+        The exchange ends at the deadline at the latest, also when nobody waits for it
+        any more: its answer may be lost, and its connection silent.
+        """
         names = self.names
         started_at = self.loop.time()
         head = b"%b%b: %d\r\n%b: %b\r\n" % (
@@ -303,8 +308,16 @@
             is_head_request=call.method == "HEAD",
         )
 
+        timeout = ExchangeTimeoutError(
+            step="receive", peer=connection.peer, detail="no response at the deadline"
+        )
+        timer = self.loop.call_at(
+            call.deadline + RESPONSE_SLACK_S, connection.fail_with, timeout
+        )
+
         def end_exchange(done: "asyncio.Future[ReceivedResponse]") -> None:
             with ExitStack() as stack:
+                stack.callback(timer.cancel)
                 stack.callback(self.release_slot)
                 stack.callback(self.pool.release, connection)
                 if not done.cancelled() and done.exception() is None:
@@ -340,15 +353,13 @@
         """
         started_at = self.loop.time()
         try:
-            async with asyncio.timeout_at(call.deadline + RESPONSE_SLACK_S):
-                received = await asyncio.shield(exchange)
-        except TimeoutError:
-            connection.fail("receive", "no response at the deadline")
-            return self.make_refusal(RefusalReason.EXPIRED, is_offered=True)
+            received = await asyncio.shield(exchange)
         except asyncio.CancelledError:
             if call.is_idempotent:
                 connection.fail("receive", "the caller cancelled the request")
             raise
+        except ExchangeTimeoutError:
+            return self.make_refusal(RefusalReason.EXPIRED, is_offered=True)
         except ExchangeError as error:
             if isinstance(error, ResponseLimitError):
                 self.n_limit_errors += 1
