Let no listing undo an update that overtook it

Callers may have seen: requests to an upstream that had left, after a listing that took seconds (large configuration, narrow link). Found by reading; no run of real processes showed it.

Cause: a listing was applied as the state at its first page although an update of a reader had come meanwhile; the revision stayed at the newer one, so that the lost changes were not read again. A reader would have sent the old upstreams on.

Evidence: on the old code the removed upstream is there again.

Change: a listing older than the known state changes no upstream and none of it is sent; a newer configuration in it is applied.

Failed before: test_listing_that_an_update_overtook_reverts_no_upstream.

--- a/foxtailway/sidecar/tests/test_update_exchange.py
+++ b/foxtailway/sidecar/tests/test_update_exchange.py
@@ -314,6 +314,39 @@
         self.assertEqual(self.followers[0].applied, [1, 9])
         self.assertEqual(self.followers[1].applied, [1, 4])
 
+    async def test_listing_that_an_update_overtook_reverts_no_upstream(self) -> None:
+        """A server that had left was in use again after a listing that took seconds.
+
+        The update of a reader came while the node still listed the store.
+        """
+        follower = self.followers[0]
+        added = make_upstream("u-9", address=ADDRESSES[1])
+        self.reader.exchange.publish_change(
+            make_change(10, 14, upstreams=(added,), removed=("u-4",)), 0.0
+        )
+        follower.exchange.publish_change(
+            make_change(None, 12, upstreams=UPSTREAMS, version=2), 0.0
+        )
+        self.assertNotIn("u-4", follower.membership.upstreams)
+        self.assertIn("u-9", follower.membership.upstreams)
+        self.assertEqual(follower.exchange.version, 2)
+        self.assertEqual(follower.exchange.revision, 14)
+
+    async def test_reader_sends_no_listing_that_an_update_overtook(self) -> None:
+        left = self.network.nodes[ADDRESSES[4]]
+        followers = [node for node in self.followers if node is not left]
+        followers[0].exchange.listing_requested_at -= INITIAL_LISTING_DELAY_S
+        change = make_change(10, 14, removed=("u-4",))
+        for node in (self.reader, *followers[1:]):
+            apply_without_broadcast(node, change)
+        self.reader.exchange.publish_change(
+            make_change(None, 12, upstreams=UPSTREAMS, version=2), 0.0
+        )
+        for node in followers:
+            self.assertEqual(node.exchange.version, 2)
+            self.assertEqual(node.exchange.revision, 14)
+            self.assertNotIn("u-4", node.membership.upstreams)
+
     async def test_outdated_update_reverts_nothing(self) -> None:
         follower = self.followers[0]
         registered_again = make_upstream("u-4", start_time_ms=2_000)
--- a/foxtailway/sidecar/update_exchange.py
+++ b/foxtailway/sidecar/update_exchange.py
@@ -163,6 +163,9 @@
         age_s : float
             Time since the store was known to have no further change, in seconds.
         """
+        if change.base_revision is None and change.revision < (self.revision or 0):
+            # An update overtook the listing, so its upstreams are outdated.
+            change = replace(change, base_revision=self.revision, upstreams=())
         previous = self.configuration
         followers = self.list_followers()
         self.membership.regained_at = self.access.find_recovery(self.loop.time())
