Measure outages from the confirmations of other nodes, too

Callers would have seen: live upstreams without work for up to two seconds after an outage if the reader changed at its end, and work for one that had left after the reader alone was cut off. Found by a model of the registry, not by a run of real processes.

Change: a node measures the gaps between the confirmations that it gets while it doesn't read itself; a gap is recorded when it is over; an expired upstream is dropped by a confirmation after its grace period.

--- a/foxtailway/platform/store_watcher.py
+++ b/foxtailway/platform/store_watcher.py
@@ -91,11 +91,6 @@
         Monotonic time at which a new node listed the registry, in seconds.
     n_seed_requests : int
         Requests for the first configuration that were sent to seeds.
-    is_access_continuous : bool
-        Whether this node has reached the store without interruption since its last
-        successful call.
-    last_call_at : float
-        Monotonic time of the last successful call, in seconds; the start before it.
     ignored : dict of str to int
         Revision of each invalid registry entry by key, so that an entry is logged once.
     """
@@ -120,9 +115,9 @@
         self.n_seed_requests = 0
         self.backoff_s = FIRST_BACKOFF_S
         self.outage_started_at: float | None = None
-        self.is_access_continuous = False
         self.ignored: dict[str, int] = {}
-        self.last_call_at = self.loop.time()
+        self.access = self.exchange.access
+        self.access.last_success_at = self.loop.time()
 
     async def run(self) -> None:
         """Watch the store, or follow a reader, until cancelled."""
@@ -158,14 +153,13 @@
         have failed at all.
         """
         now = self.loop.time()
-        self.record_gap(now)
         is_first_failure = self.outage_started_at is None
         if is_first_failure:
             self.outage_started_at = now
             self.node.log.write(
                 "store_lost", error=error, revision=self.exchange.revision
             )
-        self.exchange.broadcast_age()
+        self.exchange.record_failed_call()
         if is_first_failure and error.is_disconnected:
             return
         await asyncio.sleep(self.backoff_s * (0.5 + self.random_source.random()))
@@ -177,19 +171,9 @@
         if self.loop.time() - self.outage_started_at > RELIST_OUTAGE_S:
             self.is_listing_needed = True
 
-    def record_gap(self, now: float) -> None:
-        """Record that the store was not reached since it was last known to work.
-
-        It worked when it last responded to this node, and when a reader last confirmed
-        the state of this node.
-        """
-        self.is_access_continuous = False
-        started_at = max(self.last_call_at, self.exchange.up_to_date_at)
-        self.exchange.record_gap(started_at, now)
-
     def follow_reader(self) -> None:
         """Record that a reader confirms the state of this node, so the store works."""
-        self.is_access_continuous = False
+        self.access.record_interruption()
         self.is_listing_needed = False
         if self.outage_started_at is not None:
             self.end_outage()
@@ -202,14 +186,10 @@
 
     def record_success(self) -> None:
         """Record that the store responded, which ends an outage if there is one."""
-        now = self.loop.time()
         self.node.roles.store_delay_s = self.client.min_connect_s
-        if not self.is_access_continuous:
-            self.record_gap(now)
+        self.access.record_success(self.exchange.up_to_date_at, self.loop.time())
         if self.outage_started_at is not None:
             self.end_outage()
-        self.is_access_continuous = True
-        self.last_call_at = now
 
     def is_backlog_likely(self) -> bool:
         """Return whether the changes that this node lacks probably exceed a listing.
@@ -317,7 +297,7 @@
 
     async def watch_once(self) -> None:
         """Wait for changes once and apply them."""
-        if self.loop.time() - self.last_call_at > MAX_CONNECTION_IDLE_S:
+        if self.loop.time() - self.access.last_success_at > MAX_CONNECTION_IDLE_S:
             self.client.close()
         is_taking_over = self.is_taking_over()
         requested_at = read_boot_time()
--- a/foxtailway/platform/tests/test_store_watcher.py
+++ b/foxtailway/platform/tests/test_store_watcher.py
@@ -242,7 +242,7 @@
         self.store.close_connections()
         await wait_until(lambda: self.watcher.outage_started_at is not None)
         # The store did not fail just now; entries may have expired meanwhile.
-        self.watcher.last_call_at -= 10.0
+        self.watcher.access.last_success_at -= 10.0
         self.node.exchange.up_to_date_at -= 10.0
         await wait_until(lambda: self.node.peers.updates[-1].failure_age_ms < 60_000)
         self.assertGreater(self.node.peers.updates[-1].revision, 0)
@@ -303,7 +303,7 @@
         await self.watcher.list_all()
         now = self.watcher.loop.time()
         self.watcher.outage_started_at = now - 12.0
-        self.node.exchange.record_gap(now - 20.0, now - 12.0)
+        self.node.exchange.access.record_gap(now - 20.0, now - 12.0)
         self.node.exchange.up_to_date_at = now
         roles.capacity = HostCapacity(link_mbps=1.0, n_cores=1.0)
         self.node.membership_changed()
@@ -439,7 +439,7 @@
         self.store.status = 503
         self.store.close_connections()
         await wait_until(lambda: self.watcher.outage_started_at is not None)
-        self.watcher.last_call_at -= 10.0
+        self.watcher.access.last_success_at -= 10.0
         self.node.exchange.up_to_date_at -= 10.0
         self.store.remove("servers/u-1")
         self.store.status = 200
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -252,7 +252,7 @@
         """
         self.schedule_tick()
         now = self.loop.time()
-        self.membership.remove_expired(now)
+        self.membership.remove_expired(self.exchange.up_to_date_at)
         if self.roles.is_reader(now) != self.is_reader:
             self.is_reader = not self.is_reader
             # The readers of other regions need to know a new reader at once.
--- a/foxtailway/sidecar/tests/test_update_exchange.py
+++ b/foxtailway/sidecar/tests/test_update_exchange.py
@@ -366,7 +366,7 @@
 
     async def test_entries_removed_after_an_outage_are_kept_for_a_while(self) -> None:
         now = self.reader.exchange.loop.time()
-        self.reader.exchange.record_gap(now - 10.0, now)
+        self.reader.exchange.access.record_gap(now - 10.0, now)
         self.reader.exchange.publish_change(make_change(10, 11, removed=("u-4",)), 0.0)
         self.assert_all(lambda node: "u-4" in node.membership.expired, True)
 
@@ -376,7 +376,7 @@
         All sidecars kept an upstream that had left beyond its drain.
         """
         now = self.reader.exchange.loop.time()
-        self.reader.exchange.record_gap(now - 0.5, now)
+        self.reader.exchange.access.record_gap(now - 0.5, now)
         self.reader.exchange.publish_change(make_change(10, 11, removed=("u-4",)), 0.0)
         self.assert_all(lambda node: "u-4" in node.membership.upstreams, False)
 
@@ -384,7 +384,7 @@
         """The outage of one node doesn't apply to what another one reads."""
         now = self.reader.exchange.loop.time()
         for node in self.followers:
-            node.exchange.record_gap(now - 10.0, now)
+            node.exchange.access.record_gap(now - 10.0, now)
         self.reader.exchange.publish_change(make_change(10, 11, removed=("u-4",)), 0.0)
         self.assert_all(lambda node: "u-4" in node.membership.upstreams, False)
 
@@ -392,7 +392,7 @@
         self,
     ) -> None:
         ended_at = self.reader.exchange.loop.time() - REGISTRATION_GRACE_S + 0.5
-        self.reader.exchange.record_gap(ended_at - 10.0, ended_at)
+        self.reader.exchange.access.record_gap(ended_at - 10.0, ended_at)
         self.reader.exchange.publish_change(make_change(10, 11), 0.0)
         now = self.reader.exchange.loop.time()
         self.assert_all(lambda node: node.membership.is_recovering(now), True)
@@ -400,7 +400,7 @@
 
     async def test_expired_entry_is_not_sent_in_a_listing(self) -> None:
         now = self.reader.exchange.loop.time()
-        self.reader.exchange.record_gap(now - 10.0, now)
+        self.reader.exchange.access.record_gap(now - 10.0, now)
         self.reader.exchange.publish_change(make_change(10, 11, removed=("u-4",)), 0.0)
         new_node = Node(self.followers[0].address, self.network)
         self.network.nodes[new_node.address] = new_node
--- a/foxtailway/sidecar/update_exchange.py
+++ b/foxtailway/sidecar/update_exchange.py
@@ -64,7 +64,7 @@
         Known upstreams.
     access : RegistryAccess
         Times in which this node did not reach the store. What another node reads is
-        judged by the access of that node, which its updates contain.
+        judged by the access of that node, of which its updates tell.
     roles : ReaderRoles
         Decides which node is a reader and which nodes follow it.
     peers : PeerPool
@@ -213,16 +213,13 @@
         now = self.loop.time()
         return self.roles.list_followers(now) if self.roles.is_reader(now) else ()
 
-    def record_gap(self, started_at: float, ended_at: float) -> None:
-        """Record that this node did not reach the store, and judge entries by it.
-
-        Parameters
-        ----------
-        started_at, ended_at : float
-            Monotonic times in seconds.
-        """
-        self.access.record_gap(started_at, ended_at)
-        self.membership.regained_at = self.access.find_recovery(ended_at)
+    def record_failed_call(self) -> None:
+        """Record that the store was not reached, and tell the followers."""
+        self.access.record_interruption()
+        self.membership.regained_at = self.access.find_ongoing(
+            self.up_to_date_at, self.loop.time()
+        )
+        self.broadcast_age()
 
     def broadcast_age(self) -> None:
         """Send the followers the current age of this node's state."""
@@ -390,6 +387,7 @@
         """Record that an update is fully applied; a regional reader forwards it."""
         now = self.loop.time()
         up_to_date_at = now - update.age_ms / 1000
+        self.access.record_confirmation(self.up_to_date_at, up_to_date_at)
         self.up_to_date_at = max(self.up_to_date_at, up_to_date_at)
         self.roles.record_confirmation(up_to_date_at, update.reader, update.rank)
         if update.reader in self.roles.remote_peers and self.roles.is_reader(now):
--- a/foxtailway/traffic/membership.py
+++ b/foxtailway/traffic/membership.py
@@ -187,10 +187,19 @@
             self.record_entry(upstream)
         self.rebuild_index()
 
-    def remove_expired(self, now: float) -> None:
-        """Remove the expired upstreams whose grace period has ended."""
+    def remove_expired(self, confirmed_at: float) -> None:
+        """Remove the expired upstreams that are missing after their grace period.
+
+        Parameters
+        ----------
+        confirmed_at : float
+            Monotonic time up to which all registry changes are known, in seconds. An
+            upstream may have registered again since.
+        """
         expired_ids = [
-            key for key, grace_ends_at in self.expired.items() if grace_ends_at <= now
+            key
+            for key, grace_ends_at in self.expired.items()
+            if grace_ends_at <= confirmed_at
         ]
         for upstream_id in expired_ids:
             self.drop(upstream_id)
--- a/foxtailway/traffic/registry_access.py
+++ b/foxtailway/traffic/registry_access.py
@@ -30,13 +30,20 @@
     lost_at : float
         Monotonic time at which the last outage began, in seconds.
     regained_at : float
-        Monotonic time at which it ended, in seconds; it grows while it lasts.
+        Monotonic time at which it ended, in seconds.
+    last_success_at : float
+        Monotonic time of the last successful call of this node, in seconds; its start
+        before the first.
+    is_continuous : bool
+        Whether this node has read the registry without interruption since then.
     """
 
     def __init__(self, *, heartbeat_s: float = DEFAULT_HEARTBEAT_S) -> None:
         self.heartbeat_s = heartbeat_s
         self.lost_at = float("-inf")
         self.regained_at = float("-inf")
+        self.last_success_at = float("-inf")
+        self.is_continuous = False
 
     @property
     def min_expiry_s(self) -> float:
@@ -48,6 +55,37 @@
         """Length from which an outage can make entries expire, in seconds."""
         return max(0.0, self.min_expiry_s - REGISTRATION_TIME_S)
 
+    def record_interruption(self) -> None:
+        """Record that a call failed, or that this node follows another one."""
+        self.is_continuous = False
+
+    def record_success(self, confirmed_at: float, now: float) -> None:
+        """Record a successful call, and the gap before it if there is one.
+
+        Parameters
+        ----------
+        confirmed_at : float
+            Monotonic time at which another node last confirmed that it read the
+            registry, in seconds.
+        now : float
+            Monotonic time in seconds.
+        """
+        if not self.is_continuous:
+            self.record_gap(max(self.last_success_at, confirmed_at), now)
+        self.is_continuous = True
+        self.last_success_at = now
+
+    def record_confirmation(self, previous_at: float, confirmed_at: float) -> None:
+        """Record that another node read the registry, and the gap before it.
+
+        Parameters
+        ----------
+        previous_at, confirmed_at : float
+            Monotonic times of the last confirmation and of this one, in seconds.
+        """
+        if not self.is_continuous:
+            self.record_gap(max(self.last_success_at, previous_at), confirmed_at)
+
     def record_gap(self, started_at: float, ended_at: float) -> None:
         """Record that the registry was not read successfully for a time.
 
@@ -64,6 +102,16 @@
         self.lost_at = started_at
         self.regained_at = ended_at
 
+    def find_ongoing(self, confirmed_at: float, now: float) -> float:
+        """Return `find_recovery` for a node that does not reach the registry.
+
+        The end of an outage is then `now`, once entries may have expired in it.
+        """
+        lost_at = max(self.last_success_at, confirmed_at)
+        if not self.is_continuous and now - lost_at >= self.min_expiry_s:
+            return now
+        return self.find_recovery(now)
+
     def find_recovery(self, now: float) -> float:
         """Return the end of the outage in which an entry that is missing may be lost.
 
