Count each crash of an upstream that starts again

Callers would have seen: a request that crashes the same upstream again and again, after each start under the identifier that it had, is never refused (BUDGET). Found by reading; no run of real processes showed it.

Cause: crashes were counted by the identifier of the upstream.

Evidence: two crashes of one upstream gave one entry in the set of crashed upstreams, below the two that a quarantine needs.

Change: each crash has an identifier, that of the upstream with the start of the sidecar and a number; requests that are lost before the upstream accepts a connection again share it. It takes the place of the upstream's identifier in the notice, whose format is unchanged.

Failed before: test_each_crash_of_an_upstream_that_starts_again_counts (the reports had no identifier of a crash).

--- a/foxtailway/sidecar/crash_exchange.py
+++ b/foxtailway/sidecar/crash_exchange.py
@@ -60,29 +60,30 @@
         self.read_time = read_time
         self.log = log
 
-    def report(self, request_fingerprint: str, upstream_id: str) -> None:
+    def report(self, request_fingerprint: str, upstream_id: str, crash_id: str) -> None:
         """Record, send and log a crash of the upstream on this host."""
-        notice = PeerCrash(fingerprint=request_fingerprint, upstream_id=upstream_id)
-        is_quarantined = self.guard.record_crash(request_fingerprint, upstream_id)
+        notice = PeerCrash(fingerprint=request_fingerprint, crash_id=crash_id)
+        is_quarantined = self.guard.record_crash(request_fingerprint, crash_id)
         self.send_to_connected(notice)
         if not self.forward(notice):
             self.send_to_forwarders(notice)
         self.log.write(
             "upstream_crashed",
             upstream=upstream_id,
+            crash=crash_id,
             fingerprint=request_fingerprint,
             is_quarantined=is_quarantined,
         )
 
     def receive(self, notice: PeerCrash) -> None:
         """Record a crash that a peer reported, unless it is known."""
-        if self.guard.is_known(notice.fingerprint, notice.upstream_id):
+        if self.guard.is_known(notice.fingerprint, notice.crash_id):
             return
-        is_quarantined = self.guard.record_crash(notice.fingerprint, notice.upstream_id)
+        is_quarantined = self.guard.record_crash(notice.fingerprint, notice.crash_id)
         self.forward(notice)
         self.log.write(
             "crash_learnt",
-            upstream=notice.upstream_id,
+            crash=notice.crash_id,
             fingerprint=notice.fingerprint,
             is_quarantined=is_quarantined,
         )
@@ -116,6 +117,6 @@
     def list_recent(self) -> list[PeerCrash]:
         """Return the notices that a peer gets when a stream to it opens."""
         return [
-            PeerCrash(fingerprint=fingerprint, upstream_id=upstream_id)
-            for fingerprint, upstream_id in self.guard.list_recent_crashes()
+            PeerCrash(fingerprint=fingerprint, crash_id=crash_id)
+            for fingerprint, crash_id in self.guard.list_recent_crashes()
         ]
--- a/foxtailway/sidecar/crash_guard.py
+++ b/foxtailway/sidecar/crash_guard.py
@@ -22,7 +22,7 @@
 SUSPECT_LIFETIME_S = 2 * MAX_QUARANTINE_S
 # Requests tracked at once, which bounds the memory.
 MAX_SUSPECTED_REQUESTS = 1_000
-# Crashes remembered at once, by request and upstream.
+# Crashes remembered at once, one for each request that was lost in it.
 MAX_KNOWN_CRASHES = 2_000
 # Crashes of which a new peer is told.
 MAX_RECENT_CRASHES = 64
@@ -44,7 +44,7 @@
     Attributes
     ----------
     known_crashes : OrderedDict of tuple of str to None
-        Pairs of the fingerprint of a request and the upstream that it crashed.
+        Pairs of the fingerprint of a request and the identifier of a crash.
 
     Notes
     -----
@@ -72,21 +72,21 @@
             is not None
         )
 
-    def is_known(self, request_fingerprint: str, upstream_id: str) -> bool:
+    def is_known(self, request_fingerprint: str, crash_id: str) -> bool:
         """Return whether a crash has been recorded."""
-        return (request_fingerprint, upstream_id) in self.known_crashes
+        return (request_fingerprint, crash_id) in self.known_crashes
 
-    def record_crash(self, request_fingerprint: str, upstream_id: str) -> bool:
+    def record_crash(self, request_fingerprint: str, crash_id: str) -> bool:
         """Record a crash; return whether the request is quarantined now."""
-        self.known_crashes[(request_fingerprint, upstream_id)] = None
+        self.known_crashes[(request_fingerprint, crash_id)] = None
         if len(self.known_crashes) > MAX_KNOWN_CRASHES:
             self.known_crashes.popitem(last=False)
         suspect = self.containment.suspects.get(request_fingerprint)
-        crashed = set() if suspect is None else suspect.crashed_hosts | {upstream_id}
+        crashed = set() if suspect is None else suspect.crashed_hosts | {crash_id}
         n_beyond = max(0, len(crashed) - N_CRASHES_TO_QUARANTINE)
         return self.containment.record_loss(
             request_fingerprint,
-            upstream_id,
+            crash_id,
             n_crash_hosts=N_CRASHES_TO_QUARANTINE,
             quarantine_s=min(
                 MAX_QUARANTINE_S, QUARANTINE_S * QUARANTINE_GROWTH**n_beyond
@@ -97,7 +97,7 @@
     def list_recent_crashes(self) -> list[tuple[str, str]]:
         """Return the last crashes of requests that are still suspected, oldest first.
 
-        They are pairs of the fingerprint of a request and the crashed upstream.
+        They are pairs of the fingerprint of a request and the identifier of a crash.
         """
         suspects = self.containment.suspects
         crashes = [item for item in self.known_crashes if item[0] in suspects]
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -283,9 +283,11 @@
             n_routes=len(configuration.routes),
         )
 
-    def report_crash(self, request_fingerprint: str, upstream_id: str) -> None:
+    def report_crash(
+        self, request_fingerprint: str, upstream_id: str, crash_id: str
+    ) -> None:
         """Report a crash of the local upstream during a request."""
-        self.crashes.report(request_fingerprint, upstream_id)
+        self.crashes.report(request_fingerprint, upstream_id, crash_id)
 
     def handle_crash(self, notice: PeerCrash) -> None:
         """Apply the crash notice of a peer."""
--- a/foxtailway/sidecar/peer_message.py
+++ b/foxtailway/sidecar/peer_message.py
@@ -196,12 +196,12 @@
     ----------
     fingerprint : str
         Fingerprint of the request.
-    upstream_id : str
-        Identifier of the crashed upstream.
+    crash_id : str
+        Identifier of the crash, which begins with that of the upstream.
     """
 
     fingerprint: str
-    upstream_id: str
+    crash_id: str
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/foxtailway/sidecar/tests/test_crash_exchange.py
+++ b/foxtailway/sidecar/tests/test_crash_exchange.py
@@ -140,7 +140,7 @@
                     if node.is_quarantined():
                         continue
                     n_crashes += 1
-                    node.crashes.report(FINGERPRINT, f"crashed-{n_crashes}")
+                    node.crashes.report(FINGERPRINT, "u-1", f"u-1/{n_crashes}")
                     self.assertLess(mesh.n_messages, 8 * n_nodes * n_crashes)
                 self.assertLessEqual(n_crashes, N_ALLOWED_CRASHES)
 
@@ -148,29 +148,26 @@
         """Load pattern: upstreams crash in an outage, when no reader confirms."""
         mesh = Mesh(200)
         mesh.clock.advance(10.0)
-        next(iter(mesh.nodes.values())).crashes.report(FINGERPRINT, "crashed-1")
+        next(iter(mesh.nodes.values())).crashes.report(FINGERPRINT, "u-1", "u-1/1")
         self.assertLess(mesh.n_messages, 14 * 200)
         known = [
-            node.guard.is_known(FINGERPRINT, "crashed-1")
-            for node in mesh.nodes.values()
+            node.guard.is_known(FINGERPRINT, "u-1/1") for node in mesh.nodes.values()
         ]
         self.assertTrue(all(known))
 
     def test_notice_is_forwarded_once(self) -> None:
         mesh = Mesh(24)
         node = next(iter(mesh.nodes.values()))
-        node.crashes.report(FINGERPRINT, "crashed-1")
+        node.crashes.report(FINGERPRINT, "u-1", "u-1/1")
         n_messages = mesh.n_messages
         for reader in mesh.readers.values():
-            reader.crashes.receive(
-                PeerCrash(fingerprint=FINGERPRINT, upstream_id="crashed-1")
-            )
+            reader.crashes.receive(PeerCrash(fingerprint=FINGERPRINT, crash_id="u-1/1"))
         self.assertEqual(mesh.n_messages, n_messages)
 
     def test_recent_notices_are_few_and_without_cleared_requests(self) -> None:
         node = next(iter(Mesh(4).nodes.values()))
         for number in range(3 * MAX_RECENT_CRASHES):
-            node.crashes.report(f"f-{number}", "u-1")
+            node.crashes.report(f"f-{number}", "u-1", "u-1/1")
         recent = node.crashes.list_recent()
         self.assertEqual(len(recent), MAX_RECENT_CRASHES)
         node.guard.containment.record_success(recent[0].fingerprint, 1_000.0)
--- a/foxtailway/sidecar/tests/test_reported_faults.py
+++ b/foxtailway/sidecar/tests/test_reported_faults.py
@@ -80,7 +80,7 @@
             service="records",
             membership=membership,
             guard=CrashGuard(host_id="host-1", clock=ManualClock()),
-            on_crash=lambda request_fingerprint, upstream_id: None,
+            on_crash=lambda *_arguments: None,
             log=make_log(),
         )
         self.addCleanup(runner.close)
--- a/foxtailway/sidecar/tests/test_upstream_runner.py
+++ b/foxtailway/sidecar/tests/test_upstream_runner.py
@@ -35,6 +35,7 @@
     def make_runner(self, upstream: ScriptedUpstream) -> UpstreamRunner:
         self.membership = Membership()
         self.crashes: list[str] = []
+        self.crash_ids: list[str] = []
         self.membership.put(make_upstream("u-1", n_slots=1))
         runner = UpstreamRunner(
             names=NAMES,
@@ -46,8 +47,9 @@
             service="records",
             membership=self.membership,
             guard=CrashGuard(host_id="host-1", clock=ManualClock()),
-            on_crash=lambda request_fingerprint, upstream_id: self.crashes.append(
-                upstream_id
+            on_crash=lambda _fingerprint, upstream_id, crash_id: (
+                self.crashes.append(upstream_id),
+                self.crash_ids.append(crash_id),
             ),
             log=make_log(),
         )
@@ -176,6 +178,31 @@
             await asyncio.wait(runner.crash_checks)
         self.assertEqual(self.crashes, ["u-1"])
 
+    async def test_each_crash_of_an_upstream_that_starts_again_counts(self) -> None:
+        """A harmful request crashed an upstream of one identifier again and again."""
+        port = 0
+        accepted: list[asyncio.StreamWriter] = []
+        for n_crashes in (1, 2):
+            accepted.clear()
+            server = await asyncio.start_server(
+                lambda _reader, writer: accepted.append(writer), "127.0.0.1", port
+            )
+            port = server.sockets[0].getsockname()[1]
+            if n_crashes == 1:
+                upstream = ScriptedUpstream()
+                upstream.port = port
+                runner = self.make_runner(upstream)
+                runner.membership.put(make_upstream("u-1", n_slots=2, sequence=2))
+            calls = [asyncio.create_task(self.run_call(runner)) for _ in range(2)]
+            await wait_until(lambda: len(accepted) == 2)
+            server.close()
+            for writer in accepted:
+                writer.transport.abort()
+            await asyncio.gather(*calls)
+            await asyncio.gather(*runner.crash_checks)
+        self.assertEqual(len(self.crash_ids), 4)
+        self.assertEqual(len(set(self.crash_ids)), 2)
+
     async def test_status_503_without_not_run_header_is_a_response(self) -> None:
         async with ScriptedUpstream(respond(status="503 Busy")) as upstream:
             result = await self.run_call(self.make_runner(upstream))
--- a/foxtailway/sidecar/upstream_runner.py
+++ b/foxtailway/sidecar/upstream_runner.py
@@ -67,8 +67,8 @@
     guard : CrashGuard
         Tells which requests are quarantined; records those that are answered.
     on_crash : callable
-        Called with the fingerprint of a request and the identifier of the
-        upstream that crashed while running it.
+        Called with the fingerprint of a request, the identifier of the upstream that
+        crashed while running it, and that of the crash.
     log : EventLog
         Event log.
 
@@ -93,12 +93,14 @@
         service: str,
         membership: Membership,
         guard: CrashGuard,
-        on_crash: Callable[[str, str], None],
+        on_crash: Callable[[str, str, str], None],
         log: EventLog,
     ) -> None:
         self.guard = guard
         self.on_crash = on_crash
         self.crash_checks: set[asyncio.Task] = set()
+        self.n_crashes = 0
+        self.is_crashed = False
         self.replaced_at_by_id: dict[str, float] = {}
         self.names = names
         self.kept_headers = frozenset({names.request_id, names.seal})
@@ -108,6 +110,7 @@
         self.membership = membership
         self.log = log
         self.loop = asyncio.get_running_loop()
+        self.started_at = self.loop.time()
         self.queue = SlotQueue(n_slots=DEFAULT_N_SLOTS)
         self.waiters: dict[QueuedRequest, asyncio.Future[bool]] = {}
         self.queue_timer: asyncio.TimerHandle | None = None
@@ -274,6 +277,7 @@
             except ExchangeError as error:
                 self.log.write("upstream_unreachable", call.request_id, error=error)
                 return self.make_refusal(RefusalReason.NOT_READY)
+            self.is_crashed = False
             refusal_reason = self.find_refusal_reason(call)
             if refusal_reason is not None:
                 self.pool.release(connection)
@@ -382,10 +386,25 @@
             request_fingerprint = compute_fingerprint(
                 method=call.method, path=call.target, body=call.body
             )
-            self.on_crash(request_fingerprint, call.upstream_id)
+            self.on_crash(
+                request_fingerprint,
+                call.upstream_id,
+                self.identify_crash(call.upstream_id),
+            )
         else:
             self.pool.release(connection)
 
+    def identify_crash(self, upstream_id: str) -> str:
+        """Return the identifier of the current crash of an upstream.
+
+        An upstream may start again under its identifier and crash once more. All
+        requests that are lost before it accepts a connection again belong to one crash.
+        """
+        if not self.is_crashed:
+            self.is_crashed = True
+            self.n_crashes += 1
+        return f"{upstream_id}/{self.started_at:.3f}/{self.n_crashes}"
+
     def is_refusal(self, received: ReceivedResponse) -> bool:
         """Return whether a response says that its request was not run.
 
