--- a/foxtailway/platform/tests/test_main.py
+++ b/foxtailway/platform/tests/test_main.py
@@ -1,16 +1,18 @@
 import asyncio
 import os
 import signal
+import subprocess
+import sys
 from contextlib import redirect_stderr
 from io import StringIO
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from unittest import IsolatedAsyncioTestCase, TestCase
 
-from foxtailway.platform.main import SidecarProcess, main
+from foxtailway.platform.main import EXIT_SETTINGS, SidecarProcess, main
 from foxtailway.platform.settings import read_settings
 from foxtailway.platform.tests.test_settings import SETTINGS_TEXT
-from foxtailway.sidecar.tests.support import make_log, wait_until
+from foxtailway.sidecar.tests.support import LONG_TIMEOUT_S, make_log, wait_until
 
 
 class CommandLineTest(TestCase):
@@ -20,6 +22,24 @@
         self.assertIn("/absent/settings.conf", output.getvalue())
 
 
+class StartTest(TestCase):
+    def test_signal_of_changed_settings_during_the_start_ends_no_process(self) -> None:
+        """Found by a soak: a process that had just been started ended with SIGHUP."""
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.conf"
+            os.mkfifo(path)
+            process = subprocess.Popen(
+                [sys.executable, "-m", "foxtailway.platform", "--settings", str(path)],
+                stderr=subprocess.DEVNULL,
+            )
+            self.addCleanup(process.kill)
+            # The process reads its settings as soon as the other end is open.
+            with path.open("w") as stream:
+                process.send_signal(signal.SIGHUP)
+                stream.write("not valid")
+            self.assertEqual(process.wait(LONG_TIMEOUT_S), EXIT_SETTINGS)
+
+
 class SidecarProcessTest(IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         folder = TemporaryDirectory()
