Count a gap as an outage only if a call failed in it

Cause, by a model: readers that are slow in a storm of versions take over from one another, and the gaps between their confirmations were joined to an outage, with no call having failed.

Change: a node that lacks confirmations calls the store itself long before an entry can expire, so a gap in which none of its calls failed is no outage.

Failed before: test_series_of_reader_changes_is_no_outage.

--- a/foxtailway/platform/store_watcher.py
+++ b/foxtailway/platform/store_watcher.py
@@ -173,7 +173,7 @@
 
     def follow_reader(self) -> None:
         """Record that a reader confirms the state of this node, so the store works."""
-        self.access.record_interruption()
+        self.access.record_following()
         self.is_listing_needed = False
         if self.outage_started_at is not None:
             self.end_outage()
--- a/foxtailway/sidecar/update_exchange.py
+++ b/foxtailway/sidecar/update_exchange.py
@@ -215,7 +215,7 @@
 
     def record_failed_call(self) -> None:
         """Record that the store was not reached, and tell the followers."""
-        self.access.record_interruption()
+        self.access.record_failure()
         self.membership.regained_at = self.access.find_ongoing(
             self.up_to_date_at, self.loop.time()
         )
--- a/foxtailway/traffic/registry_access.py
+++ b/foxtailway/traffic/registry_access.py
@@ -36,6 +36,8 @@
         before the first.
     is_continuous : bool
         Whether this node has read the registry without interruption since then.
+    has_failed : bool
+        Whether a call of this node failed since the registry was last known to work.
     """
 
     def __init__(self, *, heartbeat_s: float = DEFAULT_HEARTBEAT_S) -> None:
@@ -44,6 +46,7 @@
         self.regained_at = float("-inf")
         self.last_success_at = float("-inf")
         self.is_continuous = False
+        self.has_failed = False
 
     @property
     def min_expiry_s(self) -> float:
@@ -55,10 +58,15 @@
         """Length from which an outage can make entries expire, in seconds."""
         return max(0.0, self.min_expiry_s - REGISTRATION_TIME_S)
 
-    def record_interruption(self) -> None:
-        """Record that a call failed, or that this node follows another one."""
+    def record_following(self) -> None:
+        """Record that this node follows another one in place of reading itself."""
         self.is_continuous = False
 
+    def record_failure(self) -> None:
+        """Record that a call failed."""
+        self.is_continuous = False
+        self.has_failed = True
+
     def record_success(self, confirmed_at: float, now: float) -> None:
         """Record a successful call, and the gap before it if there is one.
 
@@ -71,7 +79,7 @@
             Monotonic time in seconds.
         """
         if not self.is_continuous:
-            self.record_gap(max(self.last_success_at, confirmed_at), now)
+            self.end_gap(max(self.last_success_at, confirmed_at), now)
         self.is_continuous = True
         self.last_success_at = now
 
@@ -83,8 +91,18 @@
         previous_at, confirmed_at : float
             Monotonic times of the last confirmation and of this one, in seconds.
         """
-        if not self.is_continuous:
-            self.record_gap(max(self.last_success_at, previous_at), confirmed_at)
+        if not self.is_continuous and confirmed_at > previous_at:
+            self.end_gap(max(self.last_success_at, previous_at), confirmed_at)
+
+    def end_gap(self, started_at: float, ended_at: float) -> None:
+        """Record a gap if a call failed in it.
+
+        Without a failed call, nodes only took over from one another. A node calls the
+        registry itself long before an entry can expire.
+        """
+        if self.has_failed:
+            self.record_gap(started_at, ended_at)
+        self.has_failed = False
 
     def record_gap(self, started_at: float, ended_at: float) -> None:
         """Record that the registry was not read successfully for a time.
--- a/foxtailway/traffic/tests/test_registry_access.py
+++ b/foxtailway/traffic/tests/test_registry_access.py
@@ -53,6 +53,28 @@
             self.access.record_gap(float(second), second + 0.5)
             self.assertEqual(self.access.find_recovery(second + 0.5), NEVER)
 
+    def test_series_of_reader_changes_is_no_outage(self) -> None:
+        """Pattern: readers are slow in a storm of versions and take over in turn.
+
+        The gaps between their confirmations were joined to an outage, after which an
+        upstream that had left was kept beyond its drain.
+        """
+        confirmed_at = 100.0
+        for second in range(101, 110):
+            self.access.record_success(confirmed_at, float(second))
+            self.access.record_following()
+            self.access.record_confirmation(float(second), second + 0.1)
+            confirmed_at = second + 0.1
+            self.assertEqual(self.access.find_recovery(float(second)), NEVER)
+
+    def test_outage_is_known_from_the_gap_between_confirmations(self) -> None:
+        """Pattern: another node reaches the registry first after an outage."""
+        self.access.record_success(99.0, 100.0)
+        self.access.record_failure()
+        self.access.record_confirmation(100.0, 104.5)
+        self.access.record_success(104.5, 104.6)
+        self.assertEqual(self.access.find_recovery(104.6), 104.5)
+
     def test_slower_heartbeats_need_a_longer_outage(self) -> None:
         slow = RegistryAccess(heartbeat_s=4.0)
         slow.record_gap(100.0, 104.5)
--- a/foxtailway/traffic/tests/test_registry_recovery.py
+++ b/foxtailway/traffic/tests/test_registry_recovery.py
@@ -99,7 +99,7 @@
         if self.now - first.confirmed_at >= FAIL_OVER_S:
             self.step_reader(second, is_cut=False)
         else:
-            second.access.record_interruption()
+            second.access.record_following()
         self.membership.remove_expired(self.confirmed_at)
 
     def is_cut(self) -> bool:
@@ -132,11 +132,11 @@
         if self.resets and self.resets[0] <= self.now:
             # A broken connection is replaced at once; nothing else happens.
             self.resets.pop(0)
-            reader.access.record_interruption()
+            reader.access.record_failure()
         if self.now < reader.next_call_at:
             return
         if is_cut or self.is_down(self.now):
-            reader.access.record_interruption()
+            reader.access.record_failure()
             jitter = 0.5 + self.random.random()
             reader.next_call_at = self.now + reader.backoff_s * jitter
             reader.backoff_s = min(0.8, 2 * reader.backoff_s)
