Show that a leaving client ends the request of another client

Cause: UpstreamRunner.wait_for_response fails the connection of a cancelled request without a check that the exchange in progress is still its own. The connection may already carry the next request.

No code of the product is changed.

--- a/review/standins2/mesh.py
+++ b/review/standins2/mesh.py
@@ -29,7 +29,9 @@
 
 __all__ = [
     "HEARTBEAT_S",
+    "ROOT",
     "Answer",
+    "Link",
     "Mesh",
     "Run",
     "Store",
@@ -135,6 +137,8 @@
     ----------
     gates : dict of str to str
         Variant of the disruption for a machine: ``silent`` or ``busy``.
+    answered_at : dict of str to float
+        Time of the last answer to each machine.
     """
 
     def __init__(self) -> None:
@@ -144,6 +148,7 @@
         self.changed = asyncio.Event()
         self.ports: dict[str, int] = {}
         self.gates: dict[str, str] = {}
+        self.answered_at: dict[str, float] = {}
         self.servers: list[asyncio.Server] = []
 
     async def open_port(self, machine: str) -> int:
@@ -195,6 +200,7 @@
                 headers = {"Content-Type": "application/msgpack"}
                 await asyncio.sleep(0.004)
                 writer.write(encode_answer(status, headers, msgpack.packb(body)))
+                self.answered_at[machine] = time.monotonic()
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
@@ -307,6 +313,7 @@
     caller: str
     body: bytes
     outcome: str = "running"
+    ended_at: float = float("inf")
 
 
 @dataclass(kw_only=True)
@@ -485,6 +492,7 @@
             headers = {"Attempt-Id": run.request_id, "Response-Seal": make_seal(body)}
             writer.write(encode_answer("200 OK", headers, body))
         finally:
+            run.ended_at = time.monotonic()
             work.cancel()
             closed.cancel()
 
@@ -574,6 +582,7 @@
         self.address = address
         self.zone = zone
         self.service = ""
+        self.inbound: int | None = None
         self.process: asyncio.subprocess.Process | None = None
         self.n_starts = 0
 
@@ -592,13 +601,14 @@
     def write_settings(self, app: str, **changes: str) -> None:
         """Write the settings file for the upstream at `app`."""
         ports = self.mesh.ports
+        inbound = self.inbound or ports["inbound"]
         fields = {
             "node_name": self.name,
             "ip": self.address,
             "zone": self.zone,
             "region": self.mesh.zones[self.zone],
             "bootstrap": "true" if self.mesh.is_first_start else "false",
-            "listen_addrs.inbound": f"{self.address}:{ports['inbound']}",
+            "listen_addrs.inbound": f"{self.address}:{inbound}",
             "listen_addrs.outbound": f"{self.address}:{ports['outbound']}",
             "listen_addrs.ready": f"{self.address}:{ports['ready']}",
             "port_range": f"{ports['inbound']},{ports['inbound']}",
@@ -654,6 +664,48 @@
         return self.log_path.read_text(errors="replace").count(f'"event": "{event}"')
 
 
+class Link:
+    """Proxy between one machine and another; holds all bytes while it is cut."""
+
+    def __init__(self, *, target: tuple[str, int]) -> None:
+        self.target = target
+        self.passes = asyncio.Event()
+        self.passes.set()
+        self.server: asyncio.Server | None = None
+
+    async def open(self, address: str, port: int) -> None:
+        """Accept connections for the target."""
+        self.server = await asyncio.start_server(self.serve, address, port)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Connect to the target and pass bytes in both directions."""
+        try:
+            await self.passes.wait()
+            other_reader, other_writer = await asyncio.open_connection(*self.target)
+            await asyncio.gather(
+                self.forward(reader, other_writer), self.forward(other_reader, writer)
+            )
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def forward(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Pass bytes in one direction, and the end of the connection."""
+        try:
+            while data := await reader.read(65_536):
+                await self.passes.wait()
+                writer.write(data)
+                await writer.drain()
+        finally:
+            await self.passes.wait()
+            writer.close()
+
+
 class Mesh:
     """Small deployment: a store, upstreams, and a machine for each."""
 
@@ -678,14 +730,23 @@
         self.record.flush()
 
     async def add(
-        self, name: str, service: str, zone: str, **fields: object
+        self,
+        name: str,
+        service: str,
+        zone: str,
+        *,
+        has_other_inbound: bool = False,
+        **fields: object,
     ) -> Upstream:
         """Add a machine and its upstream; start both."""
         address = f"{self.subnet}.{len(self.machines) + 10}"
         if not self.ports:
-            self.ports = find_free_ports(address, ("inbound", "outbound", "ready"))
+            names = ("inbound", "outbound", "ready", "other_inbound")
+            self.ports = find_free_ports(address, names)
         machine = Machine(mesh=self, name=name, address=address, zone=zone)
         machine.service = service
+        if has_other_inbound:
+            machine.inbound = self.ports["other_inbound"]
         self.machines[name] = machine
         self.store.ports[name] = await self.store.open_port(name)
         upstream = Upstream(
