--- a/review/standins2/mesh.py
+++ b/review/standins2/mesh.py
@@ -28,6 +28,7 @@
 import msgpack  # noqa: E402 (from the build of the deploy file)
 
 __all__ = [
+    "EXPIRY_S",
     "HEARTBEAT_S",
     "ROOT",
     "Answer",
@@ -367,24 +368,25 @@
     def register(self) -> None:
         """Write the entry."""
         self.sequence += 1
-        self.mesh.store.put(
-            f"servers/{self.upstream_id}",
-            {
-                "address": f"{self.address}:{self.port}",
-                "born": self.born,
-                "info": {
-                    "service": self.service,
-                    "version": "v1",
-                    "zone": self.zone,
-                    "slots": self.slots,
-                },
-                "status": {
-                    "state": self.state,
-                    "sequence": self.sequence,
-                    "cold_remaining": 0,
-                },
+        self.mesh.store.put(f"servers/{self.upstream_id}", self.make_entry())
+
+    def make_entry(self) -> dict[str, object]:
+        """Return the entry with the present sequence."""
+        return {
+            "address": f"{self.address}:{self.port}",
+            "born": self.born,
+            "info": {
+                "service": self.service,
+                "version": "v1",
+                "zone": self.zone,
+                "slots": self.slots,
             },
-        )
+            "status": {
+                "state": self.state,
+                "sequence": self.sequence,
+                "cold_remaining": 0,
+            },
+        }
 
     async def renew(self) -> None:
         """Renew the entry with each heartbeat."""
