--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,8 +1,6 @@
-"""A client that leaves as its answer comes ends the request of another client."""
+"""A late write of the store brings an upstream back that has left."""
 
 import asyncio
-import random
-import signal
 import sys
 import time
 from pathlib import Path
@@ -10,123 +8,101 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins2"))
 
-from mesh import Answer, Mesh, Message, Run, Upstream, is_trouble, main, send  # noqa: E402
+from mesh import EXPIRY_S, Answer, Mesh, is_trouble, main, send  # noqa: E402
 
 ZONES = {"tln-a": "tallinn"}
-LOOKUP = {
-    "name": "r-lookup",
-    "host": "lookup.example",
-    "prefix": "/lookup/",
-    "route_type": "safe",
-    "timeout": 1000,
-    "target_latency": 500,
-    "priority": 2,
-    "service": "ladu",
-    "max_attempts": 2,
-    "traffic_split": None,
-}
-RESERVE = LOOKUP | {
+HOST = "reserve.example"
+ROUTE = {
     "name": "r-reserve",
-    "host": "reserve.example",
+    "host": HOST,
     "prefix": "/reserve/",
     "route_type": "unsafe",
+    "timeout": 800,
+    "target_latency": 200,
+    "priority": 0,
+    "service": "ladu",
+    "max_attempts": 2,
+    "traffic_split": None,
 }
-SLOTS = 3
-REMAINING_MS = 1000
-# Time after SIGTERM in which the clients of the machine still use it: they stop after
-# two failed readiness checks, one a second.
-USED_S = 1.8
-GRACE_S = 6.0
-
-
-class Lookups:
-    """Lookups whose upstream answers when their client has waited long enough."""
+# Bounds of the settings, `drain` and `stability`.
+DRAIN_S = 2.0
+STABILITY_S = 3.0
+# Time after which a lost write is done; the variant allows 1 to 6 s.
+LATE_S = 5.8
+# Time from the end of the disruption to the leaving of the upstream.
+LEAVES_AFTER_S = STABILITY_S + 0.2
+# Time for which the upstream serves after its entry was removed.
+SERVES_S = 8.0
+RATE = 25
 
-    def __init__(self) -> None:
-        self.finished: dict[str, asyncio.Event] = {}
 
-    def get(self, request_id: str) -> asyncio.Event:
-        """Return the event that ends the work of a lookup."""
-        return self.finished.setdefault(request_id, asyncio.Event())
-
-    async def work(self, upstream: Upstream, message: Message, run: Run) -> None:
-        """Work on a lookup until its event, on any other request for 30 ms."""
-        if run.target.startswith("/lookup/"):
-            async with asyncio.timeout(REMAINING_MS / 1000):
-                await self.get(run.request_id).wait()
-        else:
-            await asyncio.sleep(0.03)
+async def play(mesh: Mesh) -> list[str]:
+    """Play the case and return what was broken."""
+    mesh.store.put_config(3, [ROUTE], ["ladu", "valjakutse"])
+    leaving = await mesh.add("ladu-1", "ladu", "tln-a")
+    await mesh.add("ladu-2", "ladu", "tln-a")
+    await mesh.add("valjakutse-1", "valjakutse", "tln-a")
+    await mesh.wait_ready()
+    key = f"servers/{leaving.upstream_id}"
+    answers: list[asyncio.Task[Answer]] = []
+    is_over = asyncio.Event()
 
+    async def call() -> None:
+        number = 0
+        while not is_over.is_set():
+            for entry in ("valjakutse-1", "ladu-2"):
+                number += 1
+                request = send(
+                    mesh.machines[entry].outbound,
+                    "PUT",
+                    HOST,
+                    f"/reserve/{number}",
+                    remaining_ms=500,
+                    body=b"part",
+                )
+                answers.append(asyncio.create_task(request))
+            await asyncio.sleep(1 / RATE)
 
-async def play_round(mesh: Mesh, lookups: Lookups, number: int) -> list[Answer]:
-    """Fill the slots with lookups, queue reservations; return their answers."""
-    endpoint = mesh.machines["ladu-1"].outbound
-    request_ids, writers = [], []
-    for index in range(SLOTS):
-        request_id = f"{random.getrandbits(64):016x}"
-        _, writer = await asyncio.open_connection(*endpoint)
-        head = (
-            f"GET /lookup/{number}-{index} HTTP/1.1\r\nHost: lookup.example\r\n"
-            f"Attempt-Id: {request_id}\r\nDeadline-Remaining: {REMAINING_MS}\r\n\r\n"
-        )
-        writer.write(head.encode())
-        request_ids.append(request_id)
-        writers.append(writer)
-    await asyncio.sleep(0.02)
-    reservations = [
-        asyncio.create_task(
-            send(
-                endpoint,
-                "PUT",
-                "reserve.example",
-                f"/reserve/{number}-{index}",
-                remaining_ms=REMAINING_MS,
-                body=b"part",
-            )
-        )
-        for index in range(SLOTS)
-    ]
-    await asyncio.sleep(0.02)
-    for request_id, writer in zip(request_ids, writers, strict=True):
-        if is_trouble():
-            writer.close()
-        lookups.get(request_id).set()
-    answers = await asyncio.gather(*reservations)
-    for writer in writers:
-        writer.close()
-    return answers
+    calls = asyncio.create_task(call())
+    await asyncio.sleep(1.0)
+    # The last write of the disruption: it is not answered and done later. The writes
+    # after it are answered.
+    leaving.sequence += 1
+    late_entry = leaving.make_entry()
+    mesh.note(f"write of {key}, sequence {leaving.sequence}, is not answered")
 
+    async def write_late() -> None:
+        await asyncio.sleep(LATE_S)
+        mesh.store.put(key, late_entry)
+        mesh.note(f"late write of {key} is done")
+        await asyncio.sleep(EXPIRY_S)
+        mesh.store.remove(key)
+        mesh.note(f"{key} has expired")
 
-async def play(mesh: Mesh) -> list[str]:
-    """Play the case and return what was broken."""
-    lookups = Lookups()
-    mesh.store.put_config(3, [LOOKUP, RESERVE], ["ladu"])
-    await mesh.add("ladu-1", "ladu", "tln-a", slots=SLOTS, work=lookups.work)
-    await mesh.wait_ready()
-    machine = mesh.machines["ladu-1"]
-    machine.signal(signal.SIGTERM)
-    stopped_at = time.monotonic()
-    answers: list[Answer] = []
-    number = 0
-    while time.monotonic() < stopped_at + USED_S:
-        number += 1
-        answers += await play_round(mesh, lookups, number)
-    async with asyncio.timeout(GRACE_S):
-        await machine.process.wait()
-    mesh.note("the process has ended")
-    for answer in answers:
+    late = asyncio.create_task(write_late()) if is_trouble() else None
+    await asyncio.sleep(LEAVES_AFTER_S)
+    leaving.beat.cancel()
+    last_sequence = leaving.sequence
+    mesh.store.remove(key)
+    left_at = time.monotonic()
+    mesh.note(f"{leaving.upstream_id} leaves after sequence {last_sequence}")
+    await asyncio.sleep(SERVES_S)
+    is_over.set()
+    await calls
+    for answer in await asyncio.gather(*answers):
         mesh.note_answer(answer)
-    runs = {run.request_id: run for run in mesh.runs}
-    n_served = sum(answer.status == 200 for answer in answers)
-    mesh.note(f"{n_served} of {len(answers)} reservations were served")
+    if late is not None:
+        await late
+    own = [run.at for run in mesh.runs if run.upstream_id == leaving.upstream_id]
+    mesh.note(
+        f"last run {max(own, default=left_at) - left_at:.3f} s after the"
+        f" acknowledgement, {sum(at > left_at + DRAIN_S for at in own)} too late"
+    )
     return [
-        f"LOST: {answer.request_id} was at work at its upstream and was broken off;"
-        f" its client got {answer.status or answer.error}"
-        f" after {answer.took_s * 1000:.0f} of {REMAINING_MS} ms"
-        for answer in answers
-        if answer.status != 200
-        and answer.request_id in runs
-        and runs[answer.request_id].outcome == "dropped"
+        f"DRAIN: {run.request_id} reached {run.upstream_id}"
+        f" {run.at - left_at:.3f} s after the acknowledgement that it is gone"
+        for run in mesh.runs
+        if run.upstream_id == leaving.upstream_id and run.at > left_at + DRAIN_S
     ]
 
 
