--- a/review/6/case.py
+++ b/review/6/case.py
@@ -63,6 +63,7 @@
     mesh.store.put_config(3, [ROUTE, OTHER], ["ladu", "arveldus", "valjakutse"])
     first = await mesh.add("ladu-1", "ladu", "tln-a")
     await mesh.add("ladu-2", "ladu", "tln-a")
+    await mesh.add("ladu-3", "ladu", "tln-a")
     await mesh.add("arveldus-1", "arveldus", "tln-a")
     await mesh.add("valjakutse-1", "valjakutse", "tln-a")
     await mesh.wait_ready()
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -32,6 +32,8 @@
     "route_type": "unsafe",
 }
 SLOTS = 3
+# Clients of a round that leave; a round has six, so that their share is one sixth.
+N_LEAVING = 1
 REMAINING_MS = 1000
 # Time after SIGTERM in which the clients of the machine still use it: they stop after
 # two failed readiness checks, one a second.
@@ -87,10 +89,16 @@
         for index in range(SLOTS)
     ]
     await asyncio.sleep(0.02)
-    for request_id, writer in zip(request_ids, writers, strict=True):
+    for request_id, writer in zip(
+        request_ids[:N_LEAVING], writers[:N_LEAVING], strict=True
+    ):
         if is_trouble():
             writer.close()
         lookups.get(request_id).set()
+    # The other lookups end a little later.
+    await asyncio.sleep(0.02)
+    for request_id in request_ids[N_LEAVING:]:
+        lookups.get(request_id).set()
     answers = await asyncio.gather(*reservations)
     for writer in writers:
         writer.close()
