End an exchange only through the future that identifies it

Cause: a complete response gives its connection and its slot to the next request, which is sent in the same turn of the event loop. The task of the first request resumes a turn later. When it was cancelled in between (its client left, a hedged attempt lost, a peer cancelled), it called fail_with on the connection, which ended the exchange of the other request.

HttpConnection.abort takes the exchange that is to end and does nothing once that has ended. The cancelled caller, the deadline timer and the timer of health checks use it; fail_with is left to faults of the connection itself.

--- a/foxtailway/sidecar/cold_start_monitor.py
+++ b/foxtailway/sidecar/cold_start_monitor.py
@@ -173,12 +173,13 @@
         timeout = ExchangeTimeoutError(
             step="receive", peer=connection.peer, detail="no response to a health check"
         )
-        timer = self.loop.call_later(HEALTH_TIMEOUT_S, connection.fail_with, timeout)
+        head = f"Host: {connection.peer}\r\n".encode("latin-1")
+        exchange = connection.request(encode_request_head("GET", path, head, 0))
+        timer = self.loop.call_later(
+            HEALTH_TIMEOUT_S, connection.abort, exchange, timeout
+        )
         try:
-            head = f"Host: {connection.peer}\r\n".encode("latin-1")
-            received = await connection.request(
-                encode_request_head("GET", path, head, 0)
-            )
+            received = await exchange
             remaining_s = read_remaining(received, self.names)
         except (ExchangeError, ValueError) as error:
             self.log.write("health_check_failed", error=error)
--- a/foxtailway/sidecar/http_connection.py
+++ b/foxtailway/sidecar/http_connection.py
@@ -128,7 +128,8 @@
 
     Notes
     -----
-    This class never retries a request.
+    This class never retries a request. The future of an exchange identifies it, so
+    that `abort` can't end a later exchange on the same connection.
     """
 
     def __init__(
@@ -408,12 +409,33 @@
             step="receive", peer=self.peer, detail=f"limit exceeded: {kind}"
         )
 
+    def abort(
+        self, exchange: "asyncio.Future[ReceivedResponse]", error: ExchangeError
+    ) -> None:
+        """End an exchange with an error and close its connection.
+
+        Does nothing if the exchange has ended, since the connection may carry another
+        one by then, even before whoever waits for the response has resumed.
+
+        Parameters
+        ----------
+        exchange : asyncio.Future of ReceivedResponse
+            Exchange, as returned by `request`.
+        error : ExchangeError
+            Result of the exchange.
+        """
+        if exchange is self.exchange:
+            self.fail_with(error)
+
     def fail(self, step: str, detail: str) -> None:
         """Fail the exchange with `ExchangeError` and close the connection."""
         self.fail_with(ExchangeError(step=step, peer=self.peer, detail=detail))
 
     def fail_with(self, error: ExchangeError) -> None:
-        """Fail the exchange with an error and close the connection."""
+        """Fail the exchange in progress with an error and close the connection.
+
+        It is called for faults of the connection itself. Others call `abort`.
+        """
         exchange = self.exchange
         self.exchange = None
         self.unsent = NO_BYTES
--- a/foxtailway/sidecar/tests/test_upstream_runner.py
+++ b/foxtailway/sidecar/tests/test_upstream_runner.py
@@ -296,6 +296,32 @@
             await asyncio.sleep(0)
             self.assertEqual(runner.queue.n_busy, 0)
 
+    async def test_caller_that_leaves_as_its_answer_comes_ends_no_other_request(
+        self,
+    ) -> None:
+        """The request that got its slot and connection was broken off in its place."""
+        released = asyncio.Event()
+        scripts = (respond_after(released), respond())
+        async with ScriptedUpstream(*scripts) as upstream:
+            runner = self.make_runner(upstream)
+            leaving = asyncio.create_task(self.run_call(runner, request_id="r-1"))
+            await wait_until(lambda: bool(upstream.requests))
+            head = b"Host: a.example\r\nX-Request-Id: r-2\r\n"
+            other = asyncio.create_task(
+                self.run_call(runner, request_id="r-2", head=head, is_idempotent=False)
+            )
+            await wait_until(lambda: bool(runner.slots.waiters))
+            exchange = next(iter(runner.running.calls))
+            # The callback runs after the slot was given away and before the caller
+            # has resumed.
+            exchange.add_done_callback(lambda _: leaving.cancel())
+            released.set()
+            result = await other
+            with self.assertRaises(asyncio.CancelledError):
+                await leaving
+            self.assertEqual(upstream.n_connections, 1)
+        self.assertIsInstance(result, UpstreamResponse)
+
     async def test_non_idempotent_request_runs_to_its_end(self) -> None:
         released = asyncio.Event()
         async with ScriptedUpstream(respond_after(released)) as upstream:
--- a/foxtailway/sidecar/upstream_runner.py
+++ b/foxtailway/sidecar/upstream_runner.py
@@ -327,7 +327,7 @@
             step="receive", peer=connection.peer, detail="no response at the deadline"
         )
         timer = self.loop.call_at(
-            call.deadline + RESPONSE_SLACK_S, connection.fail_with, timeout
+            call.deadline + RESPONSE_SLACK_S, connection.abort, exchange, timeout
         )
 
         def end_exchange(done: "asyncio.Future[ReceivedResponse]") -> None:
@@ -394,12 +394,13 @@
             received = await asyncio.shield(exchange)
         except asyncio.CancelledError:
             if call.is_idempotent:
-                connection.fail_with(
+                connection.abort(
+                    exchange,
                     ExchangeCancelledError(
                         step="receive",
                         peer=connection.peer,
                         detail="the caller cancelled the request",
-                    )
+                    ),
                 )
             raise
         except ExchangeTimeoutError:
