Send requests only under the identifier that the registry gave

Cause: after a 421, the runner named the upstream of the 421 in Expect-Instance, so that the next request was accepted. It trusted the settings for the service of any upstream at the address. In the grace time, or before a changed settings file is read, they are those of an earlier upstream. The registry was not asked.

A request now names the upstream that its entry node chose from the registry.

--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -179,7 +179,6 @@
             pool=pool,
             cold_starts=self.cold_starts,
             queue_type=ContendedSlotQueue if settings.is_urgent_first else SlotQueue,
-            service=settings.service,
             membership=self.membership,
             guard=self.guard,
             on_crash=self.report_crash,
@@ -388,7 +387,6 @@
             max_body_size=settings.max_response_size,
             max_buffered_size=settings.max_buffered_size,
         )
-        self.runner.service = settings.service
         self.runner.zone = settings.zone
         self.cold_starts.zone = settings.zone
         self.cold_starts.limiter.apply_bounds(
--- a/foxtailway/sidecar/upstream_runner.py
+++ b/foxtailway/sidecar/upstream_runner.py
@@ -5,6 +5,7 @@
 from contextlib import ExitStack
 
 from foxtailway.routing.outcome import Outcome, RefusalReason
+from foxtailway.sidecar.address_owner import AddressOwner
 from foxtailway.sidecar.call import (
     CallRefusal,
     CallResult,
@@ -34,7 +35,7 @@
 from foxtailway.sidecar.speed_recorder import SpeedRecorder
 from foxtailway.sidecar.upstream_pool import UpstreamPool, is_lost_by_peer
 from foxtailway.traffic.membership import Membership
-from foxtailway.traffic.selection import REPLACED_S, LoadReport
+from foxtailway.traffic.selection import LoadReport
 from foxtailway.traffic.slot_queue import SlotQueue
 
 __all__ = ["UpstreamRunner"]
@@ -66,8 +67,6 @@
         Names of the headers that the mesh interprets.
     pool : UpstreamPool
         Connections to the upstream.
-    service : str
-        Service of the upstream on this host.
     membership : Membership
         Known upstreams.
     guard : CrashGuard
@@ -91,8 +90,8 @@
         Responses of the upstream that exceeded a limit.
     n_receiving : int
         Requests whose bodies are being received; they count as load.
-    running_id : str or None
-        Identifier of the upstream that last responded; None if unknown.
+    owner : AddressOwner
+        Tells which upstreams no longer have the address.
     ends_at : float
         Monotonic time at which the process ends, in seconds. Requests that may run
         longer are refused.
@@ -103,7 +102,6 @@
         *,
         names: HeaderNames,
         pool: UpstreamPool,
-        service: str,
         membership: Membership,
         guard: CrashGuard,
         on_crash: Callable[[UpstreamCrash], None],
@@ -117,12 +115,10 @@
         self.zone = zone
         self.guard = guard
         self.crashes = CrashDetector(pool=pool, on_crash=on_crash)
-        self.replaced_at_by_id: dict[str, float] = {}
+        self.owner = AddressOwner()
         self.names = names
         self.kept_headers = frozenset({names.request_id, names.seal})
         self.pool = pool
-        self.service = service
-        self.running_id: str | None = None
         self.membership = membership
         self.log = log
         self.loop = asyncio.get_running_loop()
@@ -167,23 +163,7 @@
         )
 
     async def run(self, call: UpstreamCall) -> CallResult:
-        """Run a request at most once and return its result; waits for a slot.
-
-        If another upstream of the service has the address, the request is sent to
-        that one after the refusal, which proves that it was not run.
-        """
-        result = await self.offer(call)
-        is_replaced = (
-            isinstance(result, CallRefusal)
-            and result.is_offered
-            and result.reason is RefusalReason.REPLACED
-        )
-        if is_replaced and self.find_running_id(call) != call.upstream_id:
-            return await self.offer(call)
-        return result
-
-    async def offer(self, call: UpstreamCall) -> CallResult:
-        """Send a request once when there is a slot and return the result."""
+        """Run a request at most once and return its result; waits for a slot."""
         self.cold_starts.update()
         refusal_reason = self.find_refusal_reason(call)
         if refusal_reason is not None:
@@ -217,7 +197,7 @@
             self.queue.n_slots = self.speeds.limit_slots(max(1, upstream.n_slots))
         if self.is_evacuated() or self.membership.is_leaving(call.upstream_id):
             return RefusalReason.DRAINING
-        if self.is_replaced(call.upstream_id):
+        if self.owner.is_replaced(call.upstream_id, self.loop.time()):
             return RefusalReason.REPLACED
         if self.guard.is_quarantined(call.method, call.target, call.body):
             return RefusalReason.QUARANTINED
@@ -229,33 +209,6 @@
         """Return whether the upstreams of this zone get no requests."""
         return self.membership.is_evacuated(self.zone)
 
-    def find_running_id(self, call: UpstreamCall) -> str:
-        """Return the identifier of the upstream that is expected to run a call.
-
-        After a restart, an upstream runs under an identifier that is not registered
-        yet. Requests for the registered one are meant for it if it belongs to the
-        same service, which the settings tell for all upstreams on this host.
-        """
-        registered = self.membership.upstreams.get(call.upstream_id)
-        if (
-            self.running_id is None
-            or registered is None
-            or registered.service != self.service
-            or self.membership.is_leaving(self.running_id)
-        ):
-            return call.upstream_id
-        return self.running_id
-
-    def is_replaced(self, upstream_id: str) -> bool:
-        """Return whether another upstream recently responded at this address."""
-        replaced_at = self.replaced_at_by_id.get(upstream_id)
-        if replaced_at is None:
-            return False
-        if self.loop.time() - replaced_at < REPLACED_S:
-            return True
-        del self.replaced_at_by_id[upstream_id]
-        return False
-
     async def run_in_slot(self, call: UpstreamCall) -> CallResult:
         """Run a request that holds a slot."""
         is_sent = False
@@ -309,7 +262,7 @@
             names.remaining_ms,
             remaining_ms,
             names.expected_upstream,
-            self.find_running_id(call).encode("latin-1"),
+            call.upstream_id.encode("latin-1"),
         )
         request_head = encode_request_head(
             call.method, call.target, head, len(call.body)
@@ -464,17 +417,15 @@
         self, call: UpstreamCall, received: ReceivedResponse
     ) -> None:
         """Record which upstream has the address, from its refusal of a call."""
-        upstream_id = received.find_header(self.names.upstream_id)
-        previous_id = self.running_id
-        self.running_id = None if upstream_id is None else upstream_id.decode("latin-1")
-        self.cold_starts.record_replaced(previous_id, self.running_id)
-        if self.find_running_id(call) == call.upstream_id:
-            self.replaced_at_by_id[call.upstream_id] = self.loop.time()
+        named_id = received.find_header(self.names.upstream_id)
+        running_id = None if named_id is None else named_id.decode("latin-1")
+        self.cold_starts.record_replaced(self.owner.running_id, running_id)
+        self.owner.record_refusal(call.upstream_id, running_id, self.loop.time())
         self.log.write(
             "upstream_replaced",
             call.request_id,
             upstream=call.upstream_id,
-            running=self.running_id,
+            running=running_id,
         )
 
     def make_refusal(
