Decide in one place whether a registry entry, a known one or a removal holds

Cause: the store did a write of the upstream 5.8 s late, after newer entries had been written and removed. Membership compared an entry only with a registered one; of an upstream that had left, any entry counted as a new registration.

Membership.resolve compares each entry with the known one or with the last one before the removal, by start, sequence and creation, whoever brings it. The admitted change, which is forwarded, holds the result. This also mends listings of a late entry, a removal and a late write that are read together, late entries in the grace time after an outage, and more than 1,000 removals. entry_outdated logs what is not used.

--- a/foxtailway/sidecar/registry_log.py
+++ b/foxtailway/sidecar/registry_log.py
@@ -60,6 +60,19 @@
             n_withheld=n_withheld,
         )
 
+    def write_outdated(self, change: RegistryChange) -> None:
+        """Log the entries of a change that were written before what is known."""
+        for upstream in change.upstreams:
+            resolved = self.membership.resolve(upstream)
+            if resolved is not upstream:
+                self.log.write(
+                    "entry_outdated",
+                    upstream=upstream.upstream_id,
+                    sequence=upstream.sequence,
+                    has_left=resolved is None,
+                    revision=change.revision,
+                )
+
     def write_evacuations(
         self, change: RegistryChange, returned: Iterable[str]
     ) -> None:
--- a/foxtailway/sidecar/update_exchange.py
+++ b/foxtailway/sidecar/update_exchange.py
@@ -434,6 +434,7 @@
             self.n_restores += 1
             self.access.record_restore(now)
             self.guard.begin_epoch(change, now)
+        self.registry_log.write_outdated(change)
         admitted = self.guard.admit(change)
         if is_restored:
             self.registry_log.write_restore(change, admitted, self.position)
--- a/foxtailway/traffic/membership.py
+++ b/foxtailway/traffic/membership.py
@@ -9,8 +9,10 @@
 # Time after the end of an outage of the registry in which missing entries count as
 # expired; upstreams register again within about two seconds.
 REGISTRATION_GRACE_S = 2.3
-# Largest number of entries of removed upstreams that are retained.
-MAX_REMOVED = 1_000
+# Least number of removed upstreams whose last entries are retained. Otherwise it is the
+# number of registered upstreams, so that one is forgotten only after as many others
+# have left: replacing all of them takes longer than the delay of a write.
+MIN_RETAINED = 1_000
 
 
 class UpstreamState(Enum):
@@ -74,13 +76,20 @@
         """Return whether another upstream of the same endpoint has replaced this one.
 
         Start times are wall-clock times of several hosts, and an entry may be written
-        late, so that both orders have to agree. Revisions of two epochs of the registry
-        have no order.
+        late, so that both orders have to agree.
+        """
+        return 0 < self.start_time_ms < other.start_time_ms and other.is_created_after(
+            self
+        )
+
+    def is_created_after(self, other: "Upstream") -> bool:
+        """Return whether the registry created this entry after another one.
+
+        Revisions of two epochs of the registry have no order.
         """
         return (
             self.created_epoch == other.created_epoch
-            and 0 < self.start_time_ms < other.start_time_ms
-            and 0 < self.created_revision < other.created_revision
+            and 0 < other.created_revision < self.created_revision
         )
 
     def is_older_than(self, other: "Upstream") -> bool:
@@ -88,13 +97,18 @@
 
         Entries without a start time have no order; the result is then False.
         """
-        if not self.start_time_ms or not other.start_time_ms:
+        if not self.has_order or not other.has_order:
             return False
         return (self.start_time_ms, self.sequence) < (
             other.start_time_ms,
             other.sequence,
         )
 
+    @property
+    def has_order(self) -> bool:
+        """Whether the entry can be compared with others of the same upstream."""
+        return self.start_time_ms > 0
+
 
 class Membership:
     """Set of the upstreams that may receive requests.
@@ -108,7 +122,8 @@
         End of the grace period of each expired upstream by identifier, as monotonic
         time in seconds.
     removed : dict of str to Upstream
-        Last known entries of removed upstreams by identifier, in order of removal.
+        Last known entries of removed upstreams by identifier, in order of removal. No
+        upstream is in `upstreams` as well.
     regained_at : float
         Monotonic time in seconds at which the registry was regained after an outage
         in which entries may have expired; minus infinity for none.
@@ -131,9 +146,10 @@
     end, since it may only have been unable to renew its entry. `RegistryAccess` tells
     an outage from a failed call. The entry of an upstream that ended without notice
     stays for several heartbeats; it is dropped as soon as a newer upstream registers
-    at its endpoint. An evacuation is in force until it is known to have ended, also
-    while the registry is unavailable. The argument `now` of the methods is the
-    monotonic time in seconds.
+    at its endpoint. An entry may be written late, even after a newer one was removed;
+    `resolve` decides what holds. An evacuation is in force until it is known to have
+    ended, also while the registry is unavailable. The argument `now` of the methods is
+    the monotonic time in seconds.
     """
 
     def __init__(self) -> None:
@@ -175,24 +191,64 @@
         self.record_entry(upstream)
         self.rebuild_index()
 
-    def record_entry(self, upstream: Upstream) -> None:
-        """Store an entry, unless it is older than the known one.
+    def resolve(self, upstream: Upstream) -> Upstream | None:
+        """Return what holds for an upstream of which the registry has an entry.
 
-        The caller has to rebuild the index.
+        Parameters
+        ----------
+        upstream : Upstream
+            Entry, which may have been written late.
+
+        Returns
+        -------
+        Upstream or None
+            The entry, or the known one if that is newer. None if the upstream has left
+            since it wrote the entry: its removal is known, or shows in the entry, which
+            is older than the known one and was created after it.
+
+        Notes
+        -----
+        All entries pass through here, whoever brings them. An upstream that registers
+        again writes a newer entry than the last one before its removal. An entry
+        without an order is taken as it is.
         """
-        self.expired.pop(upstream.upstream_id, None)
-        self.removed.pop(upstream.upstream_id, None)
         known = self.upstreams.get(upstream.upstream_id)
-        if known is None or not upstream.is_older_than(known):
+        if known is not None:
+            if not upstream.is_older_than(known):
+                return upstream
+            return None if upstream.is_created_after(known) else known
+        left = self.removed.get(upstream.upstream_id)
+        if left is None or not left.has_order or not upstream.has_order:
+            return upstream
+        return upstream if left.is_older_than(upstream) else None
+
+    def record_entry(self, upstream: Upstream) -> bool:
+        """Store an entry unless a newer state of its upstream is known.
+
+        The caller has to rebuild the index.
+
+        Returns
+        -------
+        bool
+            Whether the upstream is registered; False if it has left.
+        """
+        resolved = self.resolve(upstream)
+        if resolved is upstream:
+            self.expired.pop(upstream.upstream_id, None)
+            self.removed.pop(upstream.upstream_id, None)
             self.upstreams[upstream.upstream_id] = upstream
+        return resolved is not None
 
     def update(
         self, upstreams: Iterable[Upstream], removed: Iterable[str], now: float
     ) -> None:
         """Apply added, changed and removed registry entries."""
-        for upstream in upstreams:
-            self.record_entry(upstream)
-        for upstream_id in removed:
+        left = [
+            upstream.upstream_id
+            for upstream in upstreams
+            if not self.record_entry(upstream)
+        ]
+        for upstream_id in (*removed, *left):
             self.remove(upstream_id, now)
         self.rebuild_index()
 
@@ -208,11 +264,13 @@
 
     def replace_all(self, upstreams: tuple[Upstream, ...], now: float) -> None:
         """Apply a full listing of the registry."""
-        listed = {upstream.upstream_id: upstream for upstream in upstreams}
-        for upstream_id in self.upstreams.keys() - listed.keys():
+        listed = {
+            upstream.upstream_id
+            for upstream in upstreams
+            if self.record_entry(upstream)
+        }
+        for upstream_id in self.upstreams.keys() - listed:
             self.remove(upstream_id, now)
-        for upstream in upstreams:
-            self.record_entry(upstream)
         self.rebuild_index()
 
     def update_evacuations(
@@ -300,7 +358,7 @@
         """
         self.expired.pop(upstream_id, None)
         self.removed[upstream_id] = self.upstreams.pop(upstream_id)
-        if len(self.removed) > MAX_REMOVED:
+        if len(self.removed) > max(MIN_RETAINED, len(self.upstreams)):
             del self.removed[next(iter(self.removed))]
 
     def rebuild_index(self) -> None:
--- a/foxtailway/traffic/restore_guard.py
+++ b/foxtailway/traffic/restore_guard.py
@@ -1,4 +1,4 @@
-"""Changes of a registry that may be restored from an older copy."""
+"""Admission of registry changes, of which a part may be outdated."""
 
 from dataclasses import replace
 
@@ -17,7 +17,7 @@
 
 
 class RestoreGuard:
-    """Keeps what left before a restore of the store from returning with the copy.
+    """Keeps what has left from returning with a late write or a restored copy.
 
     Parameters
     ----------
@@ -39,8 +39,8 @@
     -----
     A listing does not tell entries of the copy from those written since the restore.
     An upstream that had left returns with a later start time or sequence. All changes
-    after a listing of the epoch were written after the restore, so they are admitted
-    as they are.
+    after a listing of the epoch were written after the restore, so of their entries
+    only those are replaced that are outdated (`Membership.resolve`).
     """
 
     def __init__(self, *, membership: Membership) -> None:
@@ -89,7 +89,23 @@
             self.writes[write] = None
         while len(self.writes) > MAX_EVACUATION_WRITES:
             del self.writes[next(iter(self.writes))]
-        return change
+        return self.replace_outdated(change)
+
+    def replace_outdated(self, change: RegistryChange) -> RegistryChange:
+        """Return a change with what is known in place of its outdated entries.
+
+        That is a newer entry or a removal, so that a node to which the change is
+        forwarded, and which lacks the newer state, does not use the outdated entry.
+        """
+        resolved = {
+            upstream.upstream_id: self.membership.resolve(upstream)
+            for upstream in change.upstreams
+        }
+        upstreams = tuple(item for item in resolved.values() if item is not None)
+        removed = change.removed
+        if change.base_revision is not None:
+            removed += tuple(key for key, item in resolved.items() if item is None)
+        return replace(change, upstreams=upstreams, removed=removed)
 
     def filter_listing(self, change: RegistryChange) -> RegistryChange:
         """Return a listing without the entries that had left before the epoch.
--- a/foxtailway/traffic/tests/test_membership.py
+++ b/foxtailway/traffic/tests/test_membership.py
@@ -1,6 +1,7 @@
 from unittest import TestCase
 
 from foxtailway.traffic.membership import (
+    MIN_RETAINED,
     REGISTRATION_GRACE_S,
     Membership,
     UpstreamState,
@@ -55,6 +56,64 @@
         self.membership.put(make_upstream(sequence=6))
         self.assertFalse(self.is_ready())
 
+    def test_late_write_of_an_entry_does_not_undo_its_removal(self) -> None:
+        """Requests reached an upstream that had left seconds before."""
+        self.membership.put(make_upstream(sequence=5))
+        self.membership.remove("u-1", 100.0)
+        for sequence in (1, 4, 5):
+            late = make_upstream(sequence=sequence, created_revision=9)
+            self.membership.update((late,), (), 101.0)
+            self.assertFalse(self.is_ready())
+            self.assertTrue(self.membership.is_leaving("u-1"))
+            # After a gap in the history, the registry is listed.
+            self.membership.replace_all((late,), 102.0)
+            self.assertFalse(self.is_ready())
+            # The late entry expires.
+            self.membership.remove("u-1", 103.0)
+        self.membership.update((make_upstream(sequence=4),), (), 104.0)
+        self.assertFalse(self.is_ready())
+        self.membership.put(make_upstream(sequence=6))
+        self.assertTrue(self.is_ready())
+
+    def test_late_write_in_the_grace_period_is_no_registration(self) -> None:
+        """An upstream that had left in an outage stayed in use for good."""
+        self.membership.put(make_upstream(sequence=5))
+        self.membership.regained_at = 99.0
+        self.membership.remove("u-1", 100.0)
+        self.membership.update((make_upstream(sequence=4),), (), 100.5)
+        self.membership.remove_expired(99.0 + REGISTRATION_GRACE_S)
+        self.assertFalse(self.is_ready())
+
+    def test_late_write_shows_a_removal_that_was_not_seen(self) -> None:
+        """A removal and a late write were read together, and only the write counted.
+
+        The entry that it creates is older than the one that is known.
+        """
+        self.membership.put(make_upstream(sequence=5))
+        overwritten = make_upstream(sequence=4)
+        created = make_upstream(sequence=4, created_revision=9)
+        self.membership.update((overwritten,), (), 100.0)
+        self.assertTrue(self.is_ready())
+        self.membership.update((created,), (), 101.0)
+        self.assertFalse(self.is_ready())
+        self.membership.put(make_upstream(sequence=6, created_revision=9))
+        self.membership.replace_all((created,), 102.0)
+        self.assertTrue(self.is_ready())
+
+    def test_as_many_removals_are_known_as_upstreams_are_registered(self) -> None:
+        """After 1,000 removals, a late write made an upstream ready again."""
+        n_upstreams = 3 * MIN_RETAINED
+        older = [make_upstream(f"u-{n}", port=n) for n in range(n_upstreams)]
+        newer = [make_upstream(f"v-{n}", port=n) for n in range(n_upstreams)]
+        self.membership.update(older, (), 0.0)
+        # Each upstream is replaced by another one, as in a release.
+        for old, new in zip(older, newer, strict=True):
+            self.membership.record_entry(new)
+            self.membership.drop(old.upstream_id)
+        self.membership.update(older, (), 1.0)
+        self.assertEqual(len(self.membership.upstreams), n_upstreams)
+        self.assertEqual(len(self.membership.removed), n_upstreams)
+
     def test_new_incarnation_replaces_the_previous_one(self) -> None:
         self.membership.put(make_upstream(state=UpstreamState.DRAINING, sequence=7))
         self.membership.put(make_upstream(start_time_ms=2_000, sequence=1))
