Bound the bytes that frame a response of the platform and of admin ports

Other operators reported an upstream that sent bytes without end, which its caller kept until it ran out of memory.

Cause: libcurl bounds header sections and trailers, tornado the decoded body; nothing bounded what frames a body. HttpPool now ends a call that received more than twice the largest body, or 64 KiB, after the header section, and AdminClient uses HttpPool.

--- a/foxtailway/cli/admin_client.py
+++ b/foxtailway/cli/admin_client.py
@@ -8,7 +8,6 @@
 
 import orjson
 from expression import Error, Ok, Result
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
 from foxtailway.cli.node_report import (
@@ -18,6 +17,7 @@
     parse_node_report,
 )
 from foxtailway.common.failure import Failure, FailureKind, Step
+from foxtailway.source.http_pool import HttpPool
 
 __all__ = ["AdminAddress", "AdminClient", "parse_address"]
 
@@ -71,15 +71,13 @@
 
     def __init__(self, *, timeout_s: float = TIMEOUT_S) -> None:
         self.timeout_s = timeout_s
-        self.client = CurlAsyncHTTPClient(
-            force_instance=True,
-            max_clients=MAX_CONNECTIONS,
-            max_body_size=MAX_RESPONSE_BYTES,
+        self.pool = HttpPool(
+            n_connections=MAX_CONNECTIONS, max_body_size=MAX_RESPONSE_BYTES
         )
 
     def close(self) -> None:
         """Close all connections; may be called more than once."""
-        self.client.close()
+        self.pool.close()
 
     async def fetch_nodes(
         self, addresses: Sequence[AdminAddress]
@@ -144,7 +142,8 @@
             follow_redirects=False,
         )
         try:
-            response = await self.client.fetch(request)
+            response = await self.pool.fetch(request)
+            response.rethrow()
             return Ok(orjson.loads(response.body))
         except HTTPClientError as error:
             return Error(make_failure(address, FailureKind.UNREACHABLE, error.message))
--- a/foxtailway/platform/tests/test_process_memory.py
+++ b/foxtailway/platform/tests/test_process_memory.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from itertools import chain, repeat
 
+from foxtailway.platform.names import HEADER_NAMES
 from foxtailway.platform.tests.process_case import (
     BLOCK_SIZE,
     MAX_BODY_SIZE,
@@ -10,6 +11,7 @@
     Client,
     SidecarProcessCase,
 )
+from foxtailway.testing.faulty_upstream import FAULTS, FaultyUpstream
 
 BODY_SIZE = 6_000_000
 N_BODIES = 20
@@ -145,6 +147,30 @@
         self.assertEqual(await client.request("/y/1", "PUT", MAX_BODY_SIZE), 200)
         await self.check_processes()
 
+    async def test_upstream_that_sends_bytes_without_end(self) -> None:
+        """Its own host and one that called it kept the bytes, as operators reported."""
+        address = "127.0.0.2"
+        upstream = FaultyUpstream(fault=FAULTS["endless-body"], names=HEADER_NAMES)
+        await upstream.start(address=address)
+        self.addAsyncCleanup(upstream.stop)
+        endpoint = await self.start_host(address, "dispatch", upstream)
+        for name, fault in FAULTS.items():
+            if not name.startswith("endless-"):
+                continue
+            upstream.fault = fault
+            clients = [
+                Client(endpoint=item)
+                for item in (self.endpoint, endpoint)
+                for _ in range(30)
+            ]
+            with self.subTest(name):
+                answers = await asyncio.gather(
+                    *(client.request("/y/1") for client in clients)
+                )
+                self.assertLessEqual(set(answers), {502, 503})
+                self.assertEqual(await Client(endpoint=endpoint).request(), 200)
+                await self.check_processes()
+
 
 async def stop_reading(client: Client) -> None:
     """Connect and read nothing."""
--- a/foxtailway/platform/tests/test_store.py
+++ b/foxtailway/platform/tests/test_store.py
@@ -8,8 +8,12 @@
 from foxtailway.platform import store as store_module
 from foxtailway.platform.store import StoreClient, StoreError
 from foxtailway.sidecar.settings import Endpoint
+from foxtailway.sidecar.tests.support import LONG_TIMEOUT_S
+from foxtailway.testing.faulty_upstream import FAULTS, FaultyUpstream
 
 SILENCE_S = 0.2
+# Largest response, and what the buffers of two sockets may hold besides.
+MAX_ENDLESS_BYTES = 24_000_000
 BODY = msgpack.packb({"items": [], "store_revision": 7, "has_more": False})
 
 
@@ -76,3 +80,18 @@
             self.assertRaises(StoreError),
         ):
             await self.list_from(SlowStore(pause_s=0.9 * SILENCE_S, padding=500))
+
+    async def test_bytes_without_end_end_the_call(self) -> None:
+        """A faulty server filled the memory of its caller, as operators reported."""
+        for name, fault in FAULTS.items():
+            if not name.startswith("endless-"):
+                continue
+            with self.subTest(name):
+                async with FaultyUpstream(fault=fault) as server:
+                    endpoint = Endpoint(address="127.0.0.1", port=server.port)
+                    client = StoreClient(endpoint=endpoint)
+                    async with asyncio.timeout(LONG_TIMEOUT_S):
+                        with self.assertRaises(StoreError):
+                            await client.list_page("", "")
+                    # The bytes that were sent filled the buffers of the sockets.
+                    self.assertLess(server.n_endless_bytes, MAX_ENDLESS_BYTES)
--- a/foxtailway/source/http_pool.py
+++ b/foxtailway/source/http_pool.py
@@ -16,6 +16,11 @@
 KEEPALIVE_INTERVAL_S = 1
 # Time without an acknowledgement after which the kernel closes a connection.
 TCP_USER_TIMEOUT_MS = 5_000
+# Bytes received after the header section, for each byte of the largest body. Small
+# chunks take more than their content, and chunk extensions have no bound of their own.
+MAX_DATA_RATIO = 2
+# The same for a small body, in bytes.
+MIN_MAX_DATA_SIZE = 65_536
 
 
 class PooledClient:
@@ -39,6 +44,54 @@
             self.client.close()
 
 
+class BoundedTransfer:
+    """Check the header section of a response and bound the bytes that follow it.
+
+    libcurl bounds header sections and trailers, and tornado the decoded body, but chunk
+    extensions only end with the timeout of the call.
+
+    Parameters
+    ----------
+    max_data_size : int
+        Largest number of bytes that may follow the header section, in bytes.
+
+    Attributes
+    ----------
+    head : CurlResponseHead
+        Header section of the response.
+    n_received : int
+        Bytes that followed it.
+    """
+
+    def __init__(self, *, max_data_size: int) -> None:
+        self.max_data_size = max_data_size
+        self.head = CurlResponseHead()
+        self.n_received = 0
+
+    @property
+    def is_too_long(self) -> bool:
+        """Whether more bytes followed the header section than allowed."""
+        return self.n_received > self.max_data_size
+
+    def prepare(self, curl: pycurl.Curl) -> None:
+        """Set the options and callbacks of a curl handle."""
+        enable_keepalive(curl)
+        self.head.attach(curl)
+        curl.setopt(pycurl.DEBUGFUNCTION, self.handle_debug)
+        curl.setopt(pycurl.NOPROGRESS, 0)
+        curl.setopt(pycurl.XFERINFOFUNCTION, self.handle_progress)
+
+    def handle_debug(self, kind: int, data: bytes) -> None:
+        """Record received bytes (callback of curl)."""
+        self.head.handle_debug(kind, data)
+        if kind == pycurl.INFOTYPE_DATA_IN:
+            self.n_received += len(data)
+
+    def handle_progress(self, *_sizes: int) -> int:
+        """Return 1, which aborts the transfer, if too many bytes were received."""
+        return int(self.is_too_long)
+
+
 class HttpPool:
     """Make HTTP calls over persistent connections.
 
@@ -52,7 +105,8 @@
     n_connections : int
         Maximum number of calls in flight; further calls wait.
     max_body_size : int
-        Largest accepted response body after decompression, in bytes.
+        Largest accepted response body after decompression, in bytes. Bytes on the wire
+        are bounded in proportion to it.
     """
 
     def __init__(self, *, n_connections: int, max_body_size: int) -> None:
@@ -88,25 +142,25 @@
         CurlError
             If no complete response arrived.
         """
-        head = CurlResponseHead()
-
-        def prepare(curl: pycurl.Curl) -> None:
-            enable_keepalive(curl)
-            head.attach(curl)
-
-        request.prepare_curl_callback = prepare
+        max_data_size = max(MIN_MAX_DATA_SIZE, MAX_DATA_RATIO * self.max_body_size)
+        transfer = BoundedTransfer(max_data_size=max_data_size)
+        request.prepare_curl_callback = transfer.prepare
         pooled = self.clients[-1]
         pooled.n_in_flight += 1
         try:
             response = await pooled.client.fetch(request, raise_error=False)
-            if not head.is_complete:
+            if not transfer.head.is_complete:
                 raise CurlError(
                     pycurl.E_PARTIAL_FILE, "incomplete or invalid header section"
                 )
             return response
-        except CurlError:
+        except CurlError as error:
             if pooled is self.clients[-1]:
                 self.replace_client()
+            if transfer.is_too_long:
+                raise CurlError(
+                    pycurl.E_WRITE_ERROR, "too many bytes after the header section"
+                ) from error
             raise
         finally:
             pooled.n_in_flight -= 1
