Register an upstream again with a newer entry in the test of a stop

test_node_whose_upstream_has_left_serves_clients_until_the_end put the same entry back that had been removed, which since counts as the entry before the removal. An upstream that registers again writes a newer one; the test now does. What it checks is unchanged.

--- a/foxtailway/sidecar/tests/test_end_to_end.py
+++ b/foxtailway/sidecar/tests/test_end_to_end.py
@@ -1,5 +1,6 @@
 import asyncio
 import socket
+from dataclasses import replace
 from random import Random
 from unittest import IsolatedAsyncioTestCase
 from unittest.mock import patch
@@ -306,7 +307,8 @@
             await wait_until(lambda: self.entry_node.client_listener.is_closing)
             await asyncio.sleep(10 * IDLE_POLL_INTERVAL_S)
             self.assertEqual(await self.fetch_status(), b"HTTP/1.1 200")
-            self.entry_node.membership.put(ENTRY_UPSTREAM)
+            registered_again = replace(ENTRY_UPSTREAM, sequence=2)
+            self.entry_node.membership.put(registered_again)
             async with asyncio.timeout(LONG_TIMEOUT_S):
                 await stop
 
