Admit new connections beside clients that are stuck

Cause: a request counted as stalled by its mean rate since its first byte, so that bytes which came at once paid for the next 40 s. A full table without stalled connections turned new ones away and did not search again for 0.25 s.

ProgressMeter lets bytes pay for 0.25 s in advance at most, 1 s for a client that reads. ConnectionTable closes the connections of no use for longest; while there are none, new ones wait unread, and the last one is admitted first. At most 16 connections are accepted in one turn of the event loop, since each takes a descriptor before it is counted. A client that reads nothing is closed also if requests wait behind its response.

--- a/foxtailway/sidecar/client_connection.py
+++ b/foxtailway/sidecar/client_connection.py
@@ -14,6 +14,7 @@
 )
 from foxtailway.sidecar.listener_state import ListenerState
 from foxtailway.sidecar.memory_account import SHORT_BODY_SIZE, MemoryShare
+from foxtailway.sidecar.progress_meter import ProgressMeter
 from foxtailway.sidecar.request_pipeline import (
     RESPONSE_NO_MEMORY,
     RequestPipeline,
@@ -28,6 +29,9 @@
 # Time after which a new connection without a request counts as idle. The request of a
 # client that has just connected is on its way.
 NEW_CONNECTION_S = 0.3
+# Longest pause in a request whose connection is kept while others find no room, in
+# seconds.
+RECEIVE_ALLOWANCE_S = 0.25
 # Bytes of chunk framing and trailers allowed beside the header section of a request.
 MAX_FRAMING_BYTES = 65_536
 # Bytes given to the parser at once outside of a body of known size. A read may hold
@@ -66,6 +70,8 @@
         is not read meanwhile.
     share : MemoryShare or None
         Share of the body that is being received; None for a short one.
+    receiving : ProgressMeter
+        Progress of the request that is being received.
     is_from_host : bool
         Whether the client is on this host.
     """
@@ -80,6 +86,7 @@
         self.meter = HeadMeter()
         self.n_requests_read = 0
         self.receiving_since: float | None = None
+        self.receiving = ProgressMeter(allowance_s=RECEIVE_ALLOWANCE_S)
         self.unparsed = b""
         self.n_incomplete = 0
         self.share: MemoryShare | None = None
@@ -104,15 +111,16 @@
         self.pipeline = RequestPipeline(
             listener=self.listener, transport=transport, on_room=self.continue_reading
         )
-        if self.listener.make_room():
-            self.listener.connections.add(self)
-        else:
-            self.pipeline.is_ended = True
-            transport.abort()
+        self.listener.add_connection(self)
+
+    def abort(self) -> None:
+        """Close the connection at once; what it holds is given back soon after."""
+        self.pipeline.is_ended = True
+        self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests in progress and discard those that wait."""
-        self.listener.connections.discard(self)
+        self.listener.discard_connection(self)
         self.pipeline.is_ended = True
         self.pipeline.discard_requests()
         self.pipeline.close_write_share()
@@ -142,9 +150,12 @@
 
     def receive(self, data: memoryview) -> None:
         """Parse received bytes until they end or too many requests wait."""
+        now = self.loop.time()
         if self.receiving_since is None:
-            self.receiving_since = self.loop.time()
+            self.receiving_since = now
+            self.receiving.restart(now)
         n_bytes = len(data)
+        self.receiving.record(n_bytes, self.listener.account.limits.min_rate, now)
         if n_bytes <= PARSE_SIZE:
             self.parse(data)
         else:
@@ -172,6 +183,7 @@
             self.unparsed = b""
             self.receive(data)
         if not self.unparsed and not self.pipeline.is_full:
+            self.receiving.restart(self.loop.time())
             self.transport.resume_reading()
 
     def hold_incomplete(self) -> None:
@@ -354,22 +366,20 @@
     def compute_stale_time(self, now: float) -> float | None:
         """Return for how long the connection has been of no use, or None if it is.
 
-        That is so while it is idle, and if a request or the reading of a response
-        makes too little progress. The time is in seconds.
+        That is so while it is idle, and while its client sends a request or reads a
+        response too slowly, also if further requests wait behind that response. A
+        connection is of use while requests run and their client reads. The time is in
+        seconds.
         """
-        limits = self.listener.account.limits
-        if self.receiving_since is not None:
-            elapsed_s = now - self.receiving_since
-            is_slow = self.meter.n_received < limits.min_rate * elapsed_s
-            if self.pipeline.requests or not is_slow:
-                return None
-            return elapsed_s if elapsed_s > limits.min_rate_window_s else None
-        share = self.pipeline.write_share
-        if share is not None and share.rate < limits.min_rate:
-            return limits.min_rate_window_s
-        if self.is_active:
+        pipeline = self.pipeline
+        if pipeline.is_sending:
+            pipeline.update_write_share()
+            return pipeline.reading.get_stalled_s(now) or None
+        if pipeline.requests:
             return None
-        return now - self.pipeline.idle_since
+        if self.receiving_since is not None:
+            return self.receiving.get_stalled_s(now) or None
+        return None if self.is_active else now - pipeline.idle_since
 
     @property
     def is_active(self) -> bool:
--- a/foxtailway/sidecar/http_listener.py
+++ b/foxtailway/sidecar/http_listener.py
@@ -5,6 +5,7 @@
 from contextlib import suppress
 
 from foxtailway.sidecar.client_connection import ClientConnection
+from foxtailway.sidecar.connection_table import ConnectionTable
 from foxtailway.sidecar.http_message import HeaderNames
 from foxtailway.sidecar.listener_state import ListenerState, RequestHandler
 from foxtailway.sidecar.log import EventLog
@@ -16,9 +17,9 @@
 TIMEOUT_CHECK_INTERVAL_S = 0.25
 # Connections that the operating system queues before they are accepted.
 LISTEN_BACKLOG = 1024
-# Part of the connections that are closed at once when there are too many, so that the
-# search for them is rare.
-CLOSED_SHARE = 1 / 16
+# Connections that are accepted in one turn of the event loop, before any of them is
+# counted.
+ACCEPT_BATCH = 16
 
 
 class HttpListener(ListenerState):
@@ -40,8 +41,8 @@
 
     Attributes
     ----------
-    connections : set of ClientConnection
-        Open connections.
+    table : ConnectionTable
+        Connections, and those that wait to be admitted.
     """
 
     def __init__(
@@ -58,10 +59,10 @@
             names=names,
             log=log,
             account=account,
-            max_n_connections=max_n_connections,
         )
-        self.no_room_until = float("-inf")
-        self.connections: set[ClientConnection] = set()
+        self.table = ConnectionTable(
+            account=self.account, max_n_connections=max_n_connections
+        )
         self.server: asyncio.Server | None = None
         self.socket: socket.socket | None = None
         self.timeout_timer: asyncio.TimerHandle | None = None
@@ -71,40 +72,28 @@
         self.socket = socket.create_server((address, port), backlog=LISTEN_BACKLOG)
         self.socket.setblocking(False)
         self.server = await asyncio.get_running_loop().create_server(
-            self.make_connection, sock=self.socket, backlog=LISTEN_BACKLOG
+            self.make_connection, sock=self.socket, backlog=ACCEPT_BATCH
         )
+        # asyncio uses one value for the queue and for the number accepted at once.
+        self.socket.listen(LISTEN_BACKLOG)
         self.schedule_timeout_check()
 
     def make_connection(self) -> ClientConnection:
         """Return the protocol of a new connection."""
         return ClientConnection(listener=self)
 
-    def make_room(self) -> bool:
-        """Return whether one more connection may be open.
+    @property
+    def connections(self) -> set[ClientConnection]:
+        """Open connections that are read."""
+        return self.table.open
 
-        When there are too many, those that were of no use for longest are closed.
-        """
-        limit = self.max_n_connections
-        if limit is None or len(self.connections) < limit:
-            return True
-        now = asyncio.get_running_loop().time()
-        if now >= self.no_room_until:
-            stale = [
-                (stale_s, id(connection), connection)
-                for connection in self.connections
-                if (stale_s := connection.compute_stale_time(now)) is not None
-            ]
-            stale.sort(reverse=True)
-            for _, _, connection in stale[: max(1, int(limit * CLOSED_SHARE))]:
-                self.account.count("n_closed")
-                self.connections.discard(connection)
-                connection.pipeline.is_ended = True
-                connection.transport.abort()
-            if stale:
-                return True
-            self.no_room_until = now + TIMEOUT_CHECK_INTERVAL_S
-        self.account.count("n_closed")
-        return False
+    def add_connection(self, connection: ClientConnection) -> None:
+        """Register a new connection, which may have to wait for room."""
+        self.table.add(connection)
+
+    def discard_connection(self, connection: ClientConnection) -> None:
+        """Forget a connection that has ended."""
+        self.table.discard(connection)
 
     async def stop_accepting(self) -> None:
         """Accept what the operating system has queued, then close the port.
@@ -169,5 +158,6 @@
             self.timeout_timer.cancel()
         if self.server is not None:
             self.server.close()
+        self.table.close()
         for connection in list(self.connections):
             connection.transport.close()
--- a/foxtailway/sidecar/listener_state.py
+++ b/foxtailway/sidecar/listener_state.py
@@ -49,15 +49,11 @@
     account : MemoryAccount or None, default=None
         Account of the memory that is held for clients; None for one with default
         limits.
-    max_n_connections : int or None, default=None
-        Connections that may be open; None for no limit.
 
     Attributes
     ----------
     limits : ClientLimits
         Limits in force; they may be replaced while the server runs.
-    connections : set of asyncio.Protocol
-        Open connections.
     is_closing : bool
         Whether each response closes its connection.
     is_ending : bool
@@ -71,17 +67,14 @@
         names: HeaderNames,
         log: EventLog,
         account: MemoryAccount | None = None,
-        max_n_connections: int | None = None,
     ) -> None:
         self.account = MemoryAccount() if account is None else account
-        self.max_n_connections = max_n_connections
         self.read_buffer = bytearray(READ_BUFFER_SIZE)
         self.read_view = memoryview(self.read_buffer)
         self.handler = handler
         self.log = log
         self.names = names
         self.limits = ClientLimits()
-        self.connections: set[asyncio.Protocol] = set()
         self.excluded_headers = CONNECTION_HEADERS | {
             names.caller,
             names.expected_upstream,
@@ -92,5 +85,9 @@
         self.is_ending = False
 
     @abstractmethod
-    def make_room(self) -> bool:
-        """Return whether one more connection may be open."""
+    def add_connection(self, connection: asyncio.BaseProtocol) -> None:
+        """Register a new connection, which may have to wait for room."""
+
+    @abstractmethod
+    def discard_connection(self, connection: asyncio.BaseProtocol) -> None:
+        """Forget a connection that has ended."""
--- a/foxtailway/sidecar/node.py
+++ b/foxtailway/sidecar/node.py
@@ -378,7 +378,7 @@
         self.settings = settings
         limits = settings.account_limits
         self.account.apply_limits(limits)
-        self.client_listener.max_n_connections = limits.max_n_clients
+        self.client_listener.table.max_n_connections = limits.max_n_clients
         self.roles.capacity = settings.capacity
         self.peer_listener.bodies.queue.link_mbps = settings.capacity.link_mbps
         self.roles.timings = ReaderTimings(apply_s=settings.apply_s)
--- a/foxtailway/sidecar/request_pipeline.py
+++ b/foxtailway/sidecar/request_pipeline.py
@@ -16,6 +16,7 @@
     SHORT_BODY_SIZE,
     MemoryShare,
 )
+from foxtailway.sidecar.progress_meter import ProgressMeter
 
 __all__ = ["RESPONSE_NO_MEMORY", "RequestPipeline"]
 
@@ -35,6 +36,9 @@
 # Bytes of a response that are given to the transport at once. What the transport can't
 # send it copies, and a response that the client reads slowly is to be held once.
 MAX_WRITE_SIZE = 65_536
+# Longest pause of a client that reads a response and may keep its connection while
+# others find no room, in seconds.
+READ_ALLOWANCE_S = 1.0
 NO_BYTES = memoryview(b"")
 # Response without a result. The request may have run.
 RESPONSE_ERROR = Response(status=502)
@@ -118,6 +122,8 @@
     ----------
     write_share : MemoryShare or None
         Share of the responses that the client has not read; None for none.
+    reading : ProgressMeter
+        Progress of the client in reading its responses.
     unsent : memoryview
         Rest of a large response that is being written; no other one is written
         meanwhile.
@@ -151,6 +157,7 @@
         self.account = listener.account
         self.on_room = on_room
         self.write_share: MemoryShare | None = None
+        self.reading = ProgressMeter(allowance_s=READ_ALLOWANCE_S)
         self.unsent = NO_BYTES
         self.n_unread = 0
         self.closes_after_unsent = False
@@ -396,8 +403,12 @@
             if not n_buffered:
                 return
             share = self.write_share = self.account.open_share(self.transport.abort)
+            self.reading.restart(self.loop.time())
         n_unread = n_buffered + len(self.unsent)
-        share.n_moved += max(0, self.n_unread - n_unread)
+        n_read = max(0, self.n_unread - n_unread)
+        share.n_moved += n_read
+        if n_read:
+            self.reading.record(n_read, self.account.limits.min_rate, self.loop.time())
         self.n_unread = n_unread
         # A response is held as a whole until all of it was given to the transport.
         share.set_held(n_buffered + (len(self.unsent.obj) if self.unsent else 0))
--- a/foxtailway/sidecar/tests/test_http_listener.py
+++ b/foxtailway/sidecar/tests/test_http_listener.py
@@ -4,7 +4,12 @@
 from foxtailway.sidecar.http_listener import HttpListener, RequestHandler
 from foxtailway.sidecar.http_message import ClientRequest, Response
 from foxtailway.sidecar.memory_account import AccountLimits
-from foxtailway.sidecar.tests.support import NAMES, make_log, wait_until
+from foxtailway.sidecar.tests.support import (
+    LONG_TIMEOUT_S,
+    NAMES,
+    make_log,
+    wait_until,
+)
 from foxtailway.traffic.configuration import ClientLimits
 
 REQUEST = (
@@ -20,6 +25,7 @@
         self.released = asyncio.Event()
         self.released.set()
         self.n_cancelled = 0
+        self.body_size = 0
 
     async def handle(self, request: ClientRequest) -> Response:
         self.requests.append(request)
@@ -28,7 +34,8 @@
         except asyncio.CancelledError:
             self.n_cancelled += 1
             raise
-        return Response(status=200, body=request.target.encode())
+        body = bytes(self.body_size) or request.target.encode()
+        return Response(status=200, body=body)
 
 
 class HttpListenerTest(IsolatedAsyncioTestCase):
@@ -132,7 +139,7 @@
         self.assertEqual(self.listener.account.shares, set())
 
     async def test_connection_of_no_use_gives_way_to_a_new_one(self) -> None:
-        self.listener.max_n_connections = 1
+        self.listener.table.max_n_connections = 1
         self.writer.write(REQUEST)
         await self.read_response()
         port = self.listener.server.sockets[0].getsockname()[1]
@@ -142,6 +149,39 @@
         self.assertEqual(len(self.listener.connections), 1)
         writer.close()
 
+    async def test_stuck_clients_keep_no_new_one_out(self) -> None:
+        """Bodies that stopped one byte short filled the table for 40 s.
+
+        So did clients that read nothing, with a request and a part of one behind.
+        """
+        size = 40_000
+        body = b"PUT /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % size
+        body += bytes(size - 1)
+        pipeline = REQUEST + REQUEST + REQUEST[:20]
+        for sent in (body, pipeline):
+            with self.subTest(sent[:30]):
+                self.listener.table.max_n_connections = 32
+                self.handler.body_size = 8_000_000
+                crowd = [await self.connect() for _ in range(40)]
+                for _, writer in crowd:
+                    writer.transport.pause_reading()
+                    writer.write(sent)
+                await asyncio.sleep(0.2)
+                self.handler.body_size = 0
+                async with asyncio.timeout(LONG_TIMEOUT_S / 4):
+                    reader, writer = await self.connect()
+                    writer.write(REQUEST)
+                    self.assertIn(b" 200 ", await reader.readline())
+                self.assertLessEqual(len(self.listener.connections), 30)
+                for _, writer in crowd:
+                    writer.close()
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        port = self.listener.server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        self.addCleanup(writer.close)
+        return reader, writer
+
     async def test_requests_before_an_unreadable_one_are_answered(self) -> None:
         self.handler.released.clear()
         self.writer.write(REQUEST + REQUEST)
