Leave requests ahead in the socket while memory is scarce

Cause: RequestPipeline took up to 17 requests of a connection, 31 kB each, and asked the account for room only when a request started; none starts while its client doesn't read.

While more than half of the account is held, a connection with an unanswered request is not read, and other reads take 2 KiB outside of a body of known size.

--- a/foxtailway/sidecar/client_connection.py
+++ b/foxtailway/sidecar/client_connection.py
@@ -139,8 +139,13 @@
         """Close the connection; a half-closed client counts as disconnected."""
         return False
 
-    def get_buffer(self, sizehint: int) -> bytearray:
-        """Return the buffer of the listener, which is parsed after each read."""
+    def get_buffer(self, sizehint: int) -> bytearray | memoryview:
+        """Return the buffer of the listener, which is parsed after each read.
+
+        While memory is scarce, a read takes little beyond the first request.
+        """
+        if self.listener.account.is_scarce and not self.count_missing():
+            return self.listener.read_view[:PARSE_SIZE]
         return self.listener.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -189,7 +194,8 @@
     def hold_incomplete(self) -> None:
         """Count an incomplete request in the account; reject it if that is exhausted.
 
-        A body with a share is counted there.
+        A body with a share is counted there. A request that follows others is not read
+        on while memory is scarce.
         """
         n_bytes = len(self.unparsed)
         if self.receiving_since is not None:
@@ -201,7 +207,9 @@
         account.n_held += n_bytes - self.n_incomplete
         is_growing = n_bytes > self.n_incomplete
         self.n_incomplete = n_bytes
-        if is_growing and not self.pipeline.requests and account.is_exhausted:
+        if self.pipeline.is_full:
+            self.transport.pause_reading()
+        elif is_growing and not self.pipeline.requests and account.is_exhausted:
             self.refuse()
 
     def discard_received(self) -> None:
--- a/foxtailway/sidecar/request_pipeline.py
+++ b/foxtailway/sidecar/request_pipeline.py
@@ -173,8 +173,13 @@
 
     @property
     def is_full(self) -> bool:
-        """Whether no further request is read until one has been answered."""
-        return len(self.requests) > MAX_PIPELINED_REQUESTS
+        """Whether no further request is read until one has been answered.
+
+        While memory is scarce, what a client sends ahead waits in its socket.
+        """
+        return len(self.requests) > MAX_PIPELINED_REQUESTS or (
+            bool(self.requests) and self.account.is_scarce
+        )
 
     def append(
         self,
--- a/foxtailway/sidecar/tests/test_request_pipeline.py
+++ b/foxtailway/sidecar/tests/test_request_pipeline.py
@@ -185,3 +185,21 @@
         self.handler.release("/0")
         await self.wait_for_started("/0", "/1")
         self.assertLessEqual(self.handler.remaining_ms[1], 6000)
+
+    async def test_requests_ahead_wait_in_the_socket_while_memory_is_scarce(
+        self,
+    ) -> None:
+        """Clients that read slowly and pipelined took a process over its memory."""
+        account = self.listener.account
+        body = bytes(10_000)
+        request = b"POST /0 HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%b"
+        account.n_held += account.size // 2 - 3 * len(body)
+        held_before = account.n_held
+        self.writer.write(request % (len(body), body) * 30)
+        await self.wait_for_started("/0")
+        await self.settle()
+        # What one read took may be held besides.
+        self.assertLess(account.n_held - held_before, 4 * len(body) + 65_536)
+        self.handler.release("/0")
+        await self.read_responses(*["/0"] * 30)
+        self.assertEqual(account.n_held, held_before)
