Notice a client that leaves while its connection is not read

Cause: a full pipeline pauses the reading of the socket, and a transport that isn't read gets no event for the close of its peer.

The timeout check asks with POLLRDHUP whether the peer of such a connection has closed it, and closes it too.

--- a/foxtailway/sidecar/client_connection.py
+++ b/foxtailway/sidecar/client_connection.py
@@ -1,6 +1,8 @@
 """Connections of clients to the sidecar: parsing and limits of their requests."""
 
 import asyncio
+import select
+import socket
 from ipaddress import ip_address
 
 import httptools
@@ -354,10 +356,12 @@
         )
 
     def close_expired(self, now: float) -> None:
-        """Close the connection if its header or idle timeout has expired."""
+        """Close the connection if a timeout has expired or its client has left."""
         limits = self.listener.limits
         if self.pipeline.write_share is not None:
             self.pipeline.update_write_share()
+        if self.pipeline.requests and not self.transport.is_reading():
+            self.close_if_client_left()
         if self.receiving_since is not None:
             is_late = now - self.receiving_since > limits.header_timeout_s
             if is_late and not self.is_header_complete and not self.pipeline.requests:
@@ -371,6 +375,14 @@
             self.pipeline.is_ended = True
             self.transport.close()
 
+    def close_if_client_left(self) -> None:
+        """Close the connection if its client has closed it.
+
+        A transport that is not read does not notice that.
+        """
+        if is_closed_by_peer(self.transport.get_extra_info("socket")):
+            self.abort()
+
     def compute_stale_time(self, now: float) -> float | None:
         """Return for how long the connection has been of no use, or None if it is.
 
@@ -415,6 +427,13 @@
             self.transport.close()
 
 
+def is_closed_by_peer(sock: socket.socket) -> bool:
+    """Return whether the peer has closed a connection, also behind unread bytes."""
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poller.poll(0))
+
+
 def find_body_size(headers: list[tuple[bytes, bytes]]) -> int | None:
     """Return the size that a request states for its body, or None.
 
--- a/foxtailway/sidecar/tests/test_request_pipeline.py
+++ b/foxtailway/sidecar/tests/test_request_pipeline.py
@@ -4,7 +4,12 @@
 
 from foxtailway.sidecar.http_listener import HttpListener, RequestHandler
 from foxtailway.sidecar.http_message import ClientRequest, Response
-from foxtailway.sidecar.tests.support import NAMES, make_log, wait_until
+from foxtailway.sidecar.tests.support import (
+    LONG_TIMEOUT_S,
+    NAMES,
+    make_log,
+    wait_until,
+)
 
 MODULE = "foxtailway.sidecar.request_pipeline"
 
@@ -203,3 +208,14 @@
         self.handler.release("/0")
         await self.read_responses(*["/0"] * 30)
         self.assertEqual(account.n_held, held_before)
+
+    async def test_client_that_leaves_behind_a_full_pipeline_is_noticed(self) -> None:
+        """Its requests ran on, and further ones started."""
+        targets = [f"/{number}" for number in range(20)]
+        self.send(*(f"GET {target}" for target in targets))
+        await self.wait_for_started(*targets[:8])
+        self.assertFalse(self.connection.transport.is_reading())
+        self.writer.close()
+        async with asyncio.timeout(LONG_TIMEOUT_S / 4):
+            await wait_until(lambda: len(self.handler.cancelled) == 8)
+        self.assertEqual(self.handler.started, targets[:8])
