Read the settings again when the handler of their signal is there

A change of the settings file between the first read and the handler of SIGHUP was missed until the next change: the signal is ignored during the start, and the recorded time of the file was taken after it had been read. The process now reads the file once more when the handler is set. The new test failed before.

--- a/foxtailway/platform/main.py
+++ b/foxtailway/platform/main.py
@@ -84,6 +84,8 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(signal_number, self.stop_requested.set)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        # The file may have changed since it was read, and the signal is ignored before.
+        self.reload()
         try:
             await self.node.start(metrics_endpoint=self.metrics_endpoint)
         except OSError as error:
--- a/foxtailway/platform/tests/test_main.py
+++ b/foxtailway/platform/tests/test_main.py
@@ -1,5 +1,6 @@
 import asyncio
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -69,6 +70,16 @@
         os.kill(os.getpid(), signal.SIGTERM)
         self.assertEqual(await task, 0)
 
+    async def test_settings_changed_during_the_start_are_applied(self) -> None:
+        """A change between the first read and the handler of the signal was missed."""
+        text = self.path.read_text()
+        self.path.write_text(re.sub(r"(?m)^service=.*$", "service=changed", text))
+        os.utime(self.path, ns=(self.process.modified_at_ns,) * 2)
+        task = await self.start()
+        self.assertEqual(self.process.node.settings.service, "changed")
+        os.kill(os.getpid(), signal.SIGTERM)
+        await task
+
     async def test_metrics_are_served(self) -> None:
         node = self.process.node
         node.metrics.count_response("records", 200, 0.02)
