Answer a request to change the protocol once

A client that sent Upgrade got its response, then a 400, and its connection was closed (read in the code by the review).

Cause: the parser stops behind such a request with an exception, which counted as invalid bytes. The sidecar never changes the protocol, so that what follows is now parsed as the next request. The new test failed before.

--- a/foxtailway/sidecar/client_connection.py
+++ b/foxtailway/sidecar/client_connection.py
@@ -244,8 +244,8 @@
         n_requests_read = self.n_requests_read
         self.meter.n_received += len(data)
         try:
-            self.parser.feed_data(data)
-        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
+            self.feed_parser(data)
+        except httptools.HttpParserError:
             self.reject(RESPONSE_BAD_REQUEST)
         if not self.is_header_complete and self.n_requests_read == n_requests_read:
             self.n_header_bytes += len(data)
@@ -256,6 +256,19 @@
         ):
             self.reject(RESPONSE_HEADERS_TOO_LARGE)
 
+    def feed_parser(self, data: memoryview) -> None:
+        """Give bytes to the parser; raise `HttpParserError` if they are invalid.
+
+        The parser stops behind a request to change the protocol. That is never done, so
+        that the next bytes belong to another request.
+        """
+        while data:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                data = data[upgrade.args[0] :]
+
     def on_message_begin(self) -> None:
         """Prepare for the next request (parser callback)."""
         self.reset_message()
--- a/foxtailway/sidecar/tests/test_http_listener.py
+++ b/foxtailway/sidecar/tests/test_http_listener.py
@@ -195,6 +195,20 @@
             self.assertIn(status, head)
         self.assertEqual(await self.reader.read(), b"")
 
+    async def test_request_to_change_the_protocol_gets_one_response(self) -> None:
+        """A second response, 400, followed, and the connection was closed."""
+        upgrade = b"GET /1 HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: h2c"
+        after = b"\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+        for parts in ((upgrade + after,), (upgrade, after[:4], after[4:])):
+            for part in parts:
+                self.writer.write(part)
+                await self.writer.drain()
+                await asyncio.sleep(0.01)
+            for target in (b"/1", b"/2"):
+                head, body = await self.read_response()
+                self.assertIn(b" 200 ", head)
+                self.assertEqual(body, target)
+
     async def test_headers_named_by_any_connection_header_are_dropped(self) -> None:
         self.writer.write(
             b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: X-One\r\n"
