Receive large messages of peers in turn while there is no room

Incomplete messages of peers were counted in the account and never bounded: a host that asked many others for long responses held as many of them as arrived at once.

A stream with an incomplete message above 64 KiB is not read while the account has no room, but for the one whose message began first, so that messages go on to end. A stream that waits for this reason does not count as silent. Its sender gives up after 3 s without an acknowledgement, as before.

--- a/foxtailway/sidecar/memory_account.py
+++ b/foxtailway/sidecar/memory_account.py
@@ -187,6 +187,8 @@
     own_size : int
         Memory of the process without what it holds for others, as measured last, in
         bytes.
+    receivers : dict of object to None
+        Receivers of incomplete large messages, in the order in which they began.
     checked_at : float
         Monotonic time of the last check, in seconds.
     events, unlogged : ResourceEvents
@@ -207,6 +209,7 @@
         self.checked_at = 0.0
         self.n_slow = 0
         self.shares: set[MemoryShare] = set()
+        self.receivers: dict[object, None] = {}
         self.events = ResourceEvents()
         self.unlogged = ResourceEvents()
 
@@ -261,6 +264,13 @@
             return self.make_room(n_bytes)
         return not self.is_exhausted
 
+    def may_receive(self, receiver: object) -> bool:
+        """Return whether one of `receivers` may go on with its message.
+
+        Without room, only the one that began first may, so that its message ends.
+        """
+        return next(iter(self.receivers), None) is receiver or self.make_room(0)
+
     def reclaim(self, n_bytes: int) -> bool:
         """Take shares back, the slowest first; return whether that was enough."""
         if not self.n_slow:
--- a/foxtailway/sidecar/peer_pool.py
+++ b/foxtailway/sidecar/peer_pool.py
@@ -287,6 +287,8 @@
                 continue
             self.schedule_probe()
             oldest_sent_at = min(pending.sent_at for pending in calls.values())
+            if stream.is_waiting_for_room:
+                continue
             silence_s = now - max(
                 stream.received_at, oldest_sent_at, self.pause_detector.resumed_at
             )
--- a/foxtailway/sidecar/peer_stream.py
+++ b/foxtailway/sidecar/peer_stream.py
@@ -27,6 +27,10 @@
 N_KEEPALIVE_PROBES = 2
 # Time for which sent data may stay unacknowledged.
 USER_TIMEOUT_MS = 3_000
+# Size from which an incomplete message needs room to be received further, in bytes.
+LARGE_MESSAGE_SIZE = 65_536
+# Interval at which a stream that waits for room looks for it.
+ROOM_CHECK_INTERVAL_S = 0.01
 # Errors of bytes that are no messages. msgpack raises TypeError for a map whose key is
 # an array or a map.
 STREAM_ERRORS = (FieldError, msgpack.UnpackException, TypeError, ValueError)
@@ -73,6 +77,8 @@
     n_held : int
         Bytes of an incomplete message and of messages that the peer has not read, as
         far as they are in the account.
+    is_waiting_for_room : bool
+        Whether the stream is not read, since its next message finds no room.
     received_at : float
         Monotonic time at which data was last received, in seconds.
     unpacker : msgpack.Unpacker or None
@@ -98,6 +104,7 @@
         self.transport: asyncio.Transport | None = None
         self.unpacker: msgpack.Unpacker | None = None
         self.n_fed = 0
+        self.is_waiting_for_room = False
         self.received_at = self.loop.time()
         self.peer = ""
         self.is_open = False
@@ -132,6 +139,7 @@
                 self.n_incomplete = self.n_fed - unpacker.tell()
             if self.n_incomplete or self.n_held:
                 self.update_account()
+                self.wait_for_room()
         except STREAM_ERRORS as error:
             self.log.write("peer_stream_malformed", peer=self.peer, error=error)
             self.close()
@@ -141,8 +149,32 @@
         self.is_open = False
         self.n_incomplete = 0
         self.update_account()
+        self.account.receivers.pop(self, None)
         self.handler.stream_lost(self)
 
+    def wait_for_room(self) -> None:
+        """Stop reading while a large incomplete message finds no room."""
+        receivers = self.account.receivers
+        if self.n_incomplete <= LARGE_MESSAGE_SIZE:
+            receivers.pop(self, None)
+            return
+        receivers.setdefault(self)
+        if not self.is_waiting_for_room and not self.account.may_receive(self):
+            self.is_waiting_for_room = True
+            self.transport.pause_reading()
+            self.loop.call_later(ROOM_CHECK_INTERVAL_S, self.check_room)
+
+    def check_room(self) -> None:
+        """Read on if there is room."""
+        if not self.is_open:
+            return
+        if self.account.may_receive(self):
+            self.is_waiting_for_room = False
+            self.received_at = self.loop.time()
+            self.transport.resume_reading()
+        else:
+            self.loop.call_later(ROOM_CHECK_INTERVAL_S, self.check_room)
+
     def resume_writing(self) -> None:
         """Adjust the account, since the peer has read most of what it was sent."""
         self.update_account()
