Let long responses wait for one another in the socket

Of 60 clients that asked for 3 MB at once and read it, most got a 502 though their requests had run.

Cause: a response beyond the bound of bodies that are received at a time ended its exchange, and a complete one was counted twice for 20 ms, by the budget and by the connection to its client.

A body reserves its size at its first part or is not read until others have been received, at most 1 s. HeldBytes goes with a response and counts it once until it is dropped, also one from a peer.

--- a/foxtailway/platform/store.py
+++ b/foxtailway/platform/store.py
@@ -12,12 +12,8 @@
 import msgpack
 
 from foxtailway.platform.names import STORE_EPOCH_HEADER
-from foxtailway.sidecar.http_connection import (
-    ExchangeError,
-    HttpConnection,
-    ReceivedResponse,
-    connect_http,
-)
+from foxtailway.sidecar.http_connection import HttpConnection, connect_http
+from foxtailway.sidecar.http_exchange import ExchangeError, ReceivedResponse
 from foxtailway.sidecar.peer_stream import set_keepalive
 from foxtailway.sidecar.settings import Endpoint
 
--- a/foxtailway/platform/tests/test_process_memory.py
+++ b/foxtailway/platform/tests/test_process_memory.py
@@ -158,6 +158,18 @@
         await asyncio.sleep(STALL_S)
         await self.check_processes()
 
+    async def test_long_responses_are_delivered_to_clients_that_read(self) -> None:
+        """Many at once found no memory and ended with 502, though they had run."""
+        await self.start_other_host()
+        for target in ("/x/long/1", "/y/long/1"):
+            with self.subTest(target):
+                clients = self.make_clients(60)
+                answers = await asyncio.gather(
+                    *(client.request(target) for client in clients)
+                )
+                self.assertEqual(answers, [200] * 60)
+                await self.check_processes()
+
     async def test_upstream_that_sends_bytes_without_end(self) -> None:
         """Its own host and one that called it kept the bytes, as operators reported."""
         address = "127.0.0.2"
--- a/foxtailway/sidecar/cold_start_monitor.py
+++ b/foxtailway/sidecar/cold_start_monitor.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from foxtailway.sidecar.http_connection import (
+from foxtailway.sidecar.http_exchange import (
     ExchangeError,
     ExchangeTimeoutError,
     ReceivedResponse,
--- a/foxtailway/sidecar/crash_detector.py
+++ b/foxtailway/sidecar/crash_detector.py
@@ -6,7 +6,8 @@
 
 from foxtailway.routing.quarantine import compute_fingerprint
 from foxtailway.sidecar.call import UpstreamCall
-from foxtailway.sidecar.http_connection import ExchangeError, HttpConnection
+from foxtailway.sidecar.http_connection import HttpConnection
+from foxtailway.sidecar.http_exchange import ExchangeError
 from foxtailway.sidecar.upstream_pool import UpstreamPool
 
 __all__ = ["CrashDetector", "CrashLoad", "UpstreamCrash"]
--- a/foxtailway/sidecar/http_connection.py
+++ b/foxtailway/sidecar/http_connection.py
@@ -1,26 +1,27 @@
 """HTTP/1.1 client connection."""
 
 import asyncio
-from dataclasses import dataclass, field
 
 import httptools
 
-from foxtailway.sidecar.body_buffer import Body, BodyBuffer
+from foxtailway.sidecar.body_buffer import Body
+from foxtailway.sidecar.http_exchange import (
+    ExchangeError,
+    ReceivedResponse,
+    ResponseLimitError,
+)
+from foxtailway.sidecar.received_body import ReceivedBody
 from foxtailway.transport.http_status import is_final_status, is_interim_status
 from foxtailway.transport.response_limits import (
     DEFAULT_RESPONSE_LIMITS,
-    FREE_BODY_SIZE,
     BufferBudget,
     HeadMeter,
+    HeldBytes,
     ResponseLimits,
 )
 
 __all__ = [
-    "ExchangeError",
-    "ExchangeTimeoutError",
     "HttpConnection",
-    "ReceivedResponse",
-    "ResponseLimitError",
     "connect_http",
 ]
 
@@ -32,67 +33,14 @@
 # Bytes of a request that are given to the transport at once. The transport moves all
 # bytes in its buffer after each partial write.
 MAX_WRITE_BYTES = 65_536
-# Time in which a response is passed on within the process, in seconds.
-DELIVERY_TIME_S = 0.02
+# Longest time for which a body waits for room, in seconds. Meanwhile its request holds
+# a slot of the server.
+MAX_ROOM_WAIT_S = 1.0
+# Interval at which a body that waits looks for room.
+ROOM_CHECK_INTERVAL_S = 0.01
 NO_BYTES = memoryview(b"")
 
 
-class ExchangeError(Exception):
-    """Raised when an exchange ends without a complete response.
-
-    Parameters
-    ----------
-    step : str
-        Step of the exchange: ``connect``, ``receive`` or ``decode``.
-    peer : str
-        ``address:port`` of the server.
-    detail : str
-        Cause in plain text.
-    """
-
-    def __init__(self, *, step: str, peer: str, detail: str) -> None:
-        super().__init__(f"{step} {peer}: {detail}")
-        self.step = step
-        self.peer = peer
-        self.detail = detail
-
-
-class ExchangeTimeoutError(ExchangeError):
-    """Raised when an exchange has no complete response at its deadline."""
-
-
-class ResponseLimitError(ExchangeError):
-    """Raised when a server sends more than `ResponseLimits` allows."""
-
-
-@dataclass(slots=True, kw_only=True)
-class ReceivedResponse:
-    """Response as received from a server.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status.
-    headers : list of tuple of bytes
-        Pairs of name, as received, and value.
-    body : bytes or mmap
-        Complete body.
-    """
-
-    status: int
-    headers: list[tuple[bytes, bytes]]
-    body: Body = field(repr=False)
-
-    def find_header(self, name: bytes) -> bytes | None:
-        """Return the value of the first header called `name` (lower case), or None."""
-        values = self.find_headers(name)
-        return values[0] if values else None
-
-    def find_headers(self, name: bytes) -> list[bytes]:
-        """Return the values of all headers called `name` (lower case)."""
-        return [value for key, value in self.headers if key.lower() == name]
-
-
 class HttpConnection(asyncio.Protocol):
     """Connection on which one request at a time is in progress.
 
@@ -106,7 +54,9 @@
     limits : ResponseLimits, default=DEFAULT_RESPONSE_LIMITS
         Bounds of the responses; beyond them, the exchange fails.
     budget : BufferBudget or None, default=None
-        Bound of the bodies that all connections receive at a time; None for none.
+        Bound of the bodies that all connections receive at a time; None for none. A
+        body that finds no room among them waits in the socket, at most
+        `MAX_ROOM_WAIT_S`.
 
     Attributes
     ----------
@@ -148,7 +98,8 @@
         self.n_requests = 0
         self.refused_ids: set[bytes] = set()
         self.n_skipped = 0
-        self.n_buffered = 0
+        self.body: ReceivedBody | None = None
+        self.is_waiting_for_room = False
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
@@ -165,9 +116,10 @@
 
     def reset_message(self) -> None:
         """Discard the state of the response that is being parsed."""
-        self.release_buffer()
+        if self.body is not None:
+            self.body.discard()
+            self.body = None
         self.headers: list[tuple[bytes, bytes]] = []
-        self.body: BodyBuffer | None = None
         self.body_size: int | None = None
         self.is_header_complete = False
         self.is_framed = False
@@ -325,16 +277,51 @@
         """Append a part of the body after a size check (parser callback)."""
         n_bytes = len(body)
         self.meter.n_body += n_bytes
-        if self.n_buffered + n_bytes > self.limits.max_body_size:
-            raise self.make_limit_error("body")
-        if self.budget is not None and not self.budget.try_acquire(
-            n_bytes, self.n_buffered
-        ):
-            raise self.make_limit_error("bodies of all running responses")
-        self.n_buffered += n_bytes
         if self.body is None:
-            self.body = BodyBuffer(size=self.body_size)
-        self.body.append(body)
+            self.body = ReceivedBody(budget=self.budget, size=self.body_size)
+        if self.body.n_bytes + n_bytes > self.limits.max_body_size:
+            raise self.make_limit_error("body")
+        self.body.buffer.append(body)
+        if self.body.try_reserve() or self.is_waiting_for_room:
+            return
+        if not self.body.is_behind_others:
+            raise self.make_limit_error("memory")
+        self.is_waiting_for_room = True
+        self.transport.pause_reading()
+        self.schedule_room_check(self.loop.time() + MAX_ROOM_WAIT_S)
+
+    def schedule_room_check(self, ends_at: float) -> None:
+        """Schedule the next check for room for the body that is being received."""
+        self.loop.call_later(
+            ROOM_CHECK_INTERVAL_S, self.check_room, self.exchange, ends_at
+        )
+
+    def check_room(
+        self, exchange: "asyncio.Future[ReceivedResponse]", ends_at: float
+    ) -> None:
+        """Go on with the body if there is room; end the exchange if it won't be soon.
+
+        Parameters
+        ----------
+        exchange : asyncio.Future of ReceivedResponse
+            Exchange of the body.
+        ends_at : float
+            Monotonic time at which the wait ends, in seconds.
+        """
+        if exchange is not self.exchange or self.body is None:
+            return
+        if self.body.try_reserve():
+            self.resume_reading()
+        elif self.loop.time() >= ends_at or not self.body.is_behind_others:
+            self.fail_with(self.make_limit_error("bodies of all running responses"))
+        else:
+            self.schedule_room_check(ends_at)
+
+    def resume_reading(self) -> None:
+        """Read on after a body has waited for room."""
+        if self.is_waiting_for_room:
+            self.is_waiting_for_room = False
+            self.transport.resume_reading()
 
     def on_message_complete(self) -> None:
         """Complete the exchange unless the response is informational (1xx)."""
@@ -354,12 +341,18 @@
         if self.exchange is None or self.exchange.done():
             self.is_reusable = False
             return
+        body: Body = b""
+        holding: HeldBytes | None = None
+        if self.body is not None:
+            body, holding = self.body.finish()
+            self.body = None
+        self.resume_reading()
         response = ReceivedResponse(
             status=self.parser.get_status_code(),
             headers=self.headers,
-            body=b"" if self.body is None else self.body.finish(),
+            body=body,
+            holding=holding,
         )
-        self.release_delivered()
         if not self.is_own_response(response):
             self.is_reusable = False
             self.count_skipped("responses to other requests")
@@ -388,22 +381,6 @@
             return self.n_requests == 1
         return all(item == self.expected_request_id for item in received_ids)
 
-    def release_delivered(self) -> None:
-        """Give the bytes of a complete body back, those of a long one a little later.
-
-        Its connection to the client counts it only after some turns of the event loop.
-        """
-        if self.budget is not None and self.n_buffered > FREE_BODY_SIZE:
-            self.loop.call_later(DELIVERY_TIME_S, self.budget.release, self.n_buffered)
-            self.n_buffered = 0
-        self.release_buffer()
-
-    def release_buffer(self) -> None:
-        """Give the bytes of the body back to the budget."""
-        if self.budget is not None:
-            self.budget.release(self.n_buffered)
-        self.n_buffered = 0
-
     def make_limit_error(self, kind: str) -> ResponseLimitError:
         """Return the error for a response that exceeds a limit."""
         return ResponseLimitError(
--- a/foxtailway/sidecar/http_message.py
+++ b/foxtailway/sidecar/http_message.py
@@ -6,6 +6,7 @@
 
 from foxtailway.common.hop_by_hop import HOP_BY_HOP_HEADERS
 from foxtailway.sidecar.body_buffer import Body
+from foxtailway.transport.response_limits import HeldBytes
 
 __all__ = [
     "BODILESS_STATUSES",
@@ -106,11 +107,15 @@
         End-to-end header lines, each ending with CR LF.
     body : bytes or mmap
         Complete body.
+    holding : HeldBytes or None, default=None
+        Counts a long body in the account until the response is dropped; None if it is
+        not counted.
     """
 
     status: int
     head: bytes = field(default=b"", repr=False)
     body: Body = field(default=b"", repr=False)
+    holding: HeldBytes | None = field(default=None, repr=False, compare=False)
 
     @property
     def is_server_error(self) -> bool:
--- a/foxtailway/sidecar/memory_account.py
+++ b/foxtailway/sidecar/memory_account.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from resource import getpagesize
 
+from foxtailway.transport.response_limits import HeldBytes
+
 __all__ = [
     "AccountLimits",
     "MemoryAccount",
@@ -258,11 +260,12 @@
         """Hold more or fewer bytes in any case."""
         self.n_held += n_bytes
 
-    def can_hold_response(self, n_bytes: int) -> bool:
-        """Return whether a response that is ready may be held until it is read."""
-        if n_bytes > SHORT_BODY_SIZE:
-            return self.make_room(n_bytes)
-        return not self.is_exhausted
+    def hold_body(self, n_bytes: int) -> HeldBytes | None:
+        """Hold a body in any case, and return what counts it; None for a short one."""
+        if n_bytes <= SHORT_BODY_SIZE:
+            return None
+        self.hold(n_bytes)
+        return HeldBytes(hold=self.hold, n_bytes=n_bytes)
 
     def may_receive(self, receiver: object) -> bool:
         """Return whether one of `receivers` may go on with its message.
--- a/foxtailway/sidecar/peer_pool.py
+++ b/foxtailway/sidecar/peer_pool.py
@@ -14,7 +14,7 @@
     UpstreamCall,
     UpstreamResponse,
 )
-from foxtailway.sidecar.http_connection import ExchangeError
+from foxtailway.sidecar.http_exchange import ExchangeError
 from foxtailway.sidecar.http_message import Response
 from foxtailway.sidecar.log import EventLog
 from foxtailway.sidecar.memory_account import MemoryAccount
@@ -240,7 +240,7 @@
                     )
                     pending.fail()
                 else:
-                    pending.future.set_result(decode_result(message))
+                    pending.future.set_result(decode_result(message, self.pool.account))
             case PeerBodyGrant():
                 pending = self.streams.get(stream, {}).get(message.call_id)
                 if pending is not None:
@@ -458,12 +458,17 @@
     )
 
 
-def decode_result(message: PeerResponse | PeerRefusal) -> CallResult:
-    """Return the result of a call from a message."""
+def decode_result(
+    message: PeerResponse | PeerRefusal, account: MemoryAccount
+) -> CallResult:
+    """Return the result of a call from a message; the account counts a long body."""
     if isinstance(message, PeerResponse):
         return UpstreamResponse(
             response=Response(
-                status=message.status, head=message.head, body=message.body
+                status=message.status,
+                head=message.head,
+                body=message.body,
+                holding=account.hold_body(len(message.body)),
             ),
             run_time_s=message.run_time_us / 1e6,
             load=message.load,
--- a/foxtailway/sidecar/request_pipeline.py
+++ b/foxtailway/sidecar/request_pipeline.py
@@ -67,6 +67,8 @@
         Task that runs the request; None before it starts.
     n_held : int
         Bytes that the account holds for the request, and then for its response.
+    n_waiting : int
+        Bytes of the body of a response that waits for an earlier one.
     response : Response or None
         Response that waits for those before it; None while the request runs.
     """
@@ -75,6 +77,7 @@
         "is_head_request",
         "is_keep_alive",
         "n_held",
+        "n_waiting",
         "request",
         "response",
         "share",
@@ -98,6 +101,7 @@
             self.n_held += len(request.body)
         else:
             share.evict = None
+        self.n_waiting = 0
         self.waiting_since: float | None = None
         self.task: asyncio.Task | None = None
         self.response: Response | None = None
@@ -263,17 +267,20 @@
         del request
         self.release_request(item)
         size = len(response.body)
-        if size > SHORT_BODY_SIZE and not self.account.can_hold_response(size):
+        n_uncounted = size if response.holding is None else 0
+        if size > SHORT_BODY_SIZE and not self.account.make_room(n_uncounted):
             self.account.count("n_dropped")
             response = RESPONSE_ERROR
+            size = n_uncounted = 0
         item.response = response
         try:
             if item is self.requests[0]:
                 self.write_responses()
             else:
                 self.n_held_bytes += size
-                item.n_held = size
-                self.account.n_held += size
+                item.n_waiting = size
+                item.n_held = n_uncounted
+                self.account.n_held += n_uncounted
         except Exception as error:
             self.listener.log.write_error("respond", error)
             self.is_ended = True
@@ -286,7 +293,7 @@
         ):
             item = self.requests.popleft()
             self.n_started -= 1
-            self.n_held_bytes -= item.n_held
+            self.n_held_bytes -= item.n_waiting
             self.account.n_held -= item.n_held
             # A connection that closes still answers the requests that have started.
             is_last = not item.is_keep_alive or (
--- a/foxtailway/sidecar/tests/test_http_connection.py
+++ b/foxtailway/sidecar/tests/test_http_connection.py
@@ -2,12 +2,14 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from unittest import IsolatedAsyncioTestCase
+from unittest.mock import patch
 
-from foxtailway.sidecar.http_connection import (
+from foxtailway.sidecar import http_connection
+from foxtailway.sidecar.http_connection import HttpConnection, connect_http
+from foxtailway.sidecar.http_exchange import (
     ExchangeError,
-    HttpConnection,
     ReceivedResponse,
-    connect_http,
+    ResponseLimitError,
 )
 from foxtailway.sidecar.tests.support import (
     LONG_TIMEOUT_S,
@@ -18,6 +20,7 @@
     respond,
     send_bytes,
 )
+from foxtailway.transport.response_limits import BufferBudget
 
 REQUEST = b"GET /x HTTP/1.1\r\nX-Request-Id: r-1\r\n\r\n"
 # Request that exceeds the buffers of any socket.
@@ -34,12 +37,15 @@
 
 
 class HttpConnectionTest(IsolatedAsyncioTestCase):
-    async def connect(self, upstream: ScriptedUpstream) -> HttpConnection:
+    async def connect(
+        self, upstream: ScriptedUpstream, budget: BufferBudget | None = None
+    ) -> HttpConnection:
         connection = await connect_http(
             address="127.0.0.1",
             port=upstream.port,
             timeout_s=5.0,
             request_id_header=NAMES.request_id,
+            budget=budget,
         )
         self.addCleanup(connection.close)
         return connection
@@ -54,6 +60,34 @@
             self.assertTrue(connection.is_reusable)
             self.assertEqual((await self.exchange(connection)).body, b"two")
 
+    async def test_long_bodies_wait_for_one_another(self) -> None:
+        """Several at once ended with 502, though their requests had run."""
+        body = "b" * 400_000
+        budget = BufferBudget(max_size=500_000)
+        async with ScriptedUpstream(*[respond(body=body)] * 4) as upstream:
+            connections = [await self.connect(upstream, budget) for _ in range(4)]
+            received = await asyncio.gather(*map(self.exchange, connections))
+        self.assertEqual({len(item.body) for item in received}, {len(body)})
+        self.assertEqual(budget.size, 0)
+
+    async def test_body_that_finds_no_room_ends_its_exchange(self) -> None:
+        """It holds a slot of the server, so that it must not wait for long."""
+        n_held = 0
+
+        def hold(n_bytes: int) -> None:
+            nonlocal n_held
+            n_held += n_bytes
+
+        budget = BufferBudget(max_size=1_000, hold=hold)
+        async with ScriptedUpstream(respond(body="b" * 400_000)) as upstream:
+            connection = await self.connect(upstream, budget)
+            with (
+                patch.object(http_connection, "MAX_ROOM_WAIT_S", 0.05),
+                self.assertRaises(ResponseLimitError),
+            ):
+                await self.exchange(connection)
+        self.assertEqual((budget.size, n_held), (0, 0))
+
     async def test_response_to_another_request_is_dropped(self) -> None:
         script = send_bytes(make_response("r-0", body="old") + make_response("r-1"))
         async with ScriptedUpstream(script) as upstream:
--- a/foxtailway/sidecar/upstream_pool.py
+++ b/foxtailway/sidecar/upstream_pool.py
@@ -3,11 +3,8 @@
 import asyncio
 from dataclasses import replace
 
-from foxtailway.sidecar.http_connection import (
-    ExchangeError,
-    HttpConnection,
-    connect_http,
-)
+from foxtailway.sidecar.http_connection import HttpConnection, connect_http
+from foxtailway.sidecar.http_exchange import ExchangeError
 from foxtailway.transport.response_limits import (
     DEFAULT_RESPONSE_LIMITS,
     BufferBudget,
--- a/foxtailway/sidecar/upstream_runner.py
+++ b/foxtailway/sidecar/upstream_runner.py
@@ -15,10 +15,10 @@
 from foxtailway.sidecar.cold_start_monitor import ColdStartMonitor
 from foxtailway.sidecar.crash_detector import CrashDetector, CrashLoad, UpstreamCrash
 from foxtailway.sidecar.crash_guard import CrashGuard
-from foxtailway.sidecar.http_connection import (
+from foxtailway.sidecar.http_connection import HttpConnection
+from foxtailway.sidecar.http_exchange import (
     ExchangeError,
     ExchangeTimeoutError,
-    HttpConnection,
     ReceivedResponse,
     ResponseLimitError,
 )
@@ -408,7 +408,12 @@
         headers = select_end_to_end(received.headers, kept=self.kept_headers)
         head = encode_headers(headers)
         return UpstreamResponse(
-            response=Response(status=received.status, head=head, body=received.body),
+            response=Response(
+                status=received.status,
+                head=head,
+                body=received.body,
+                holding=received.holding,
+            ),
             run_time_s=run_time_s,
             load=self.report_load(),
         )
--- a/foxtailway/transport/response_limits.py
+++ b/foxtailway/transport/response_limits.py
@@ -8,6 +8,7 @@
     "FREE_BODY_SIZE",
     "BufferBudget",
     "HeadMeter",
+    "HeldBytes",
     "ResponseLimits",
 ]
 
@@ -73,6 +74,30 @@
     return True
 
 
+class HeldBytes:
+    """Bytes of a body that count as held for as long as this object lives.
+
+    A body passes through several owners, any of which may drop it.
+
+    Parameters
+    ----------
+    hold : callable
+        Called with the bytes that are no longer held, as a negative number.
+    n_bytes : int
+        Bytes, which the caller has counted.
+    """
+
+    __slots__ = ("hold", "n_bytes")
+
+    def __init__(self, *, hold: Callable[[int], object], n_bytes: int) -> None:
+        self.hold = hold
+        self.n_bytes = n_bytes
+
+    def __del__(self) -> None:
+        """Give the bytes back."""
+        self.hold(-self.n_bytes)
+
+
 class BufferBudget:
     """Bytes that the incomplete responses of several connections may take together.
 
@@ -104,7 +129,7 @@
         self.hold = hold
         self.size = 0
 
-    def try_acquire(self, n_bytes: int, n_before: int = 0) -> bool:
+    def try_acquire(self, n_bytes: int, n_before: int = 0, n_held: int = 0) -> bool:
         """Take some bytes; return False if too many are taken already.
 
         Parameters
@@ -114,19 +139,20 @@
         n_before : int, default=0
             Bytes that the same response has taken before. Without the first
             `FREE_BODY_SIZE` of each response, long ones would keep out short ones.
+        n_held : int, default=0
+            Bytes of `n_bytes` that are held already.
         """
         if n_before + n_bytes <= FREE_BODY_SIZE:
-            self.size += n_bytes
-            self.hold(n_bytes)
-            return True
-        if self.size + n_bytes > self.max_size:
-            return False
-        if not self.try_hold(n_bytes):
+            self.hold(n_bytes - n_held)
+        elif self.is_exceeded_by(n_bytes) or not self.try_hold(n_bytes - n_held):
             return False
         self.size += n_bytes
         return True
 
+    def is_exceeded_by(self, n_bytes: int) -> bool:
+        """Return whether more bytes fit only after others have been given back."""
+        return self.size + n_bytes > self.max_size
+
     def release(self, n_bytes: int) -> None:
-        """Give bytes back."""
+        """Give bytes back, which may go on to be held."""
         self.size -= n_bytes
-        self.hold(-n_bytes)
