Believe a reported outage only if nobody else read the registry in it

Cause: a node takes a gap in its own calls for an outage in which entries may have expired, and says so in its updates. Followers went by the last update alone and kept the upstream for 2.3 s, though another reader had confirmed their state all the while.

RegistryAccess.judge_report counts a reported outage only if this node has heard of nobody who read the registry for longer than a short outage and than confirmations are apart. The new test failed before.

--- a/foxtailway/sidecar/tests/test_update_exchange.py
+++ b/foxtailway/sidecar/tests/test_update_exchange.py
@@ -282,6 +282,25 @@
         self.reader.exchange.publish_change(make_change(10, 11, removed=("u-4",)), 0.0)
         self.assert_all(lambda node: "u-4" in node.membership.upstreams, False)
 
+    async def test_gap_of_one_reader_is_no_outage_while_another_one_reads(self) -> None:
+        """A reader that had been cut off kept an upstream in use that had left."""
+        node = self.followers[0]
+        removal = make_update(
+            base_revision=10,
+            revision=11,
+            version=1,
+            failure_age_ms=0,
+            members=pack(MembershipChange(removed=("u-4",))),
+        )
+        for silent_s, is_kept in ((5.0, True), (0.3, False)):
+            confirmation = make_update(base_revision=10, revision=10, version=1)
+            node.exchange.receive_update(confirmation, self.network.requests.append)
+            node.exchange.up_to_date_at -= silent_s
+            node.exchange.receive_update(removal, self.network.requests.append)
+            self.assertEqual("u-4" in node.membership.upstreams, is_kept)
+            node.exchange.revision = 10
+            node.exchange.access.reported_at = float("-inf")
+
     async def test_updates_after_an_outage_do_not_extend_the_recovery_period(
         self,
     ) -> None:
--- a/foxtailway/sidecar/update_exchange.py
+++ b/foxtailway/sidecar/update_exchange.py
@@ -365,14 +365,16 @@
         send_reply : callable
             Sends a message back to the reader.
         """
-        regained_at = self.loop.time() - update.failure_age_ms / 1000
-        self.membership.regained_at = max(regained_at, self.access.restored_at)
+        self.membership.regained_at = self.access.judge_report(
+            self.loop.time() - update.failure_age_ms / 1000,
+            self.up_to_date_at,
+            self.roles.timings.max_confirmation_gap_s,
+        )
         change = self.decode_update(update)
         is_changed = change is not None and self.apply_locally(self.admit(change))
         is_complete = change is not None and update.version <= self.version
         if update.epoch < self.epoch:
-            # Its reader has not noticed a restore of the store, so that it confirms
-            # nothing and has no changes that are missing here.
+            # Its reader has not noticed a restore of the store: it confirms nothing.
             return
         if is_complete:
             self.confirm_update(update)
--- a/foxtailway/traffic/reader_roles.py
+++ b/foxtailway/traffic/reader_roles.py
@@ -97,6 +97,11 @@
         """Longest time between two confirmations of a reader, in seconds."""
         return CONFIRM_SHARE * self.apply_s
 
+    @property
+    def max_confirmation_gap_s(self) -> float:
+        """Longest time between two confirmations that followers notice, in seconds."""
+        return 1.5 * self.confirm_interval_s
+
     @property
     def remote_timeout_s(self) -> float:
         """Age of a confirmation at which a far reader reads the store, in seconds."""
--- a/foxtailway/traffic/registry_access.py
+++ b/foxtailway/traffic/registry_access.py
@@ -10,6 +10,9 @@
 MAX_RENEWAL_HEARTBEATS = 1.25
 # Time after the end of an outage within which an upstream renews its entry.
 REGISTRATION_TIME_S = 2.0
+# Difference between the ends of an outage in two reports of it, in seconds, since
+# messages are delayed.
+REPORT_TOLERANCE_S = 0.5
 
 
 class RegistryAccess:
@@ -37,6 +40,9 @@
     restored_at : float
         Monotonic time at which this node learned that the registry was restored from
         an older copy, in seconds; entries may be missing from it.
+    reported_at : float
+        Monotonic time at which the last outage that other nodes have reported ended, in
+        seconds; without those in which a third node read the registry.
     is_continuous : bool
         Whether this node has read the registry without interruption since then.
     has_failed : bool
@@ -49,6 +55,7 @@
         self.regained_at = float("-inf")
         self.last_success_at = float("-inf")
         self.restored_at = float("-inf")
+        self.reported_at = float("-inf")
         self.is_continuous = False
         self.has_failed = False
 
@@ -156,3 +163,33 @@
         if now - self.lost_at < self.min_expiry_s:
             return self.restored_at
         return max(self.restored_at, self.regained_at)
+
+    def judge_report(
+        self, regained_at: float, confirmed_at: float, interval_s: float
+    ) -> float:
+        """Return the end of the outage to go by when another node reports one.
+
+        A node that was cut off alone takes the gap for an outage of the registry. The
+        report does not count if a third node read the registry in that time.
+
+        Parameters
+        ----------
+        regained_at : float
+            End of the reported outage as monotonic time in seconds; minus infinity for
+            none.
+        confirmed_at : float
+            Monotonic time at which this node last knew that somebody had read the
+            registry, in seconds.
+        interval_s : float
+            Longest time between two confirmations while the registry works, in seconds.
+
+        Returns
+        -------
+        float
+            Monotonic time in seconds; minus infinity for no outage.
+        """
+        is_later = regained_at > self.reported_at + REPORT_TOLERANCE_S
+        unseen_s = regained_at - confirmed_at
+        if not is_later or unseen_s > max(self.min_outage_s, interval_s):
+            self.reported_at = regained_at
+        return max(self.restored_at, self.reported_at)
