Count a connection as new when it is admitted

It now counts as new from its admission. While connections wait, only the timer searches, not each new connection. Of the events of a connection that is not read, only those of a close count. The new test failed before: the admitted client's connection was reset.

--- a/foxtailway/sidecar/client_connection.py
+++ b/foxtailway/sidecar/client_connection.py
@@ -43,6 +43,8 @@
 CHUNKED_SHARE_SIZE = 262_144
 # Memory that a parsed header takes beside its bytes, in bytes.
 HEADER_OVERHEAD_SIZE = 160
+# Events of a connection that its peer has closed or reset.
+CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 RESPONSE_BAD_REQUEST = Response(status=400)
 RESPONSE_TIMEOUT = Response(status=408)
 RESPONSE_BODY_TOO_LARGE = Response(status=413)
@@ -115,6 +117,11 @@
         )
         self.listener.add_connection(self)
 
+    def start_reading(self) -> None:
+        """Read a connection that has waited; it counts as new from now on."""
+        self.pipeline.idle_since = self.loop.time()
+        self.transport.resume_reading()
+
     def abort(self) -> None:
         """Close the connection at once; what it holds is given back soon after."""
         self.pipeline.is_ended = True
@@ -444,7 +451,7 @@
     """Return whether the peer has closed a connection, also behind unread bytes."""
     poller = select.poll()
     poller.register(sock.fileno(), select.POLLRDHUP)
-    return bool(poller.poll(0))
+    return any(events & CLOSED_EVENTS for _, events in poller.poll(0))
 
 
 def find_body_size(headers: list[tuple[bytes, bytes]]) -> int | None:
--- a/foxtailway/sidecar/connection_table.py
+++ b/foxtailway/sidecar/connection_table.py
@@ -62,8 +62,11 @@
         return limit is not None and len(self.open) >= limit - self.max_n_waiting
 
     def add(self, connection: "ClientConnection") -> None:
-        """Admit a new connection, or let it wait for room."""
-        if not self.is_full or self.close_stale():
+        """Admit a new connection, or let it wait for room.
+
+        While others wait, only the timer looks for a connection that may be closed.
+        """
+        if not self.is_full or (not self.waiting and self.close_stale()):
             self.open.add(connection)
             return
         connection.transport.pause_reading()
@@ -103,7 +106,7 @@
         while self.waiting and (not self.is_full or self.close_stale()):
             connection = self.waiting.pop()
             self.open.add(connection)
-            connection.transport.resume_reading()
+            connection.start_reading()
 
     def close_stale(self) -> bool:
         """Close the connections of no use; return whether there was one."""
--- a/foxtailway/sidecar/tests/test_http_listener.py
+++ b/foxtailway/sidecar/tests/test_http_listener.py
@@ -1,6 +1,8 @@
 import asyncio
 from unittest import IsolatedAsyncioTestCase
 
+from foxtailway.sidecar.client_connection import NEW_CONNECTION_S
+from foxtailway.sidecar.connection_table import ADMISSION_INTERVAL_S
 from foxtailway.sidecar.http_listener import HttpListener, RequestHandler
 from foxtailway.sidecar.http_message import ClientRequest, Response
 from foxtailway.sidecar.memory_account import AccountLimits
@@ -176,6 +178,26 @@
                 for _, writer in crowd:
                     writer.close()
 
+    async def test_admitted_connection_is_not_closed_before_it_is_read(self) -> None:
+        """It had been idle for as long as it had waited, longer than the others."""
+        self.handler.released.clear()
+        self.listener.table.max_n_connections = 32
+        running = [await self.connect() for _ in range(29)]
+        for _, writer in ((self.reader, self.writer), *running):
+            writer.write(REQUEST)
+        await wait_until(lambda: len(self.handler.requests) == 30)
+        waiting = [await self.connect() for _ in range(2)]
+        for _, writer in waiting:
+            writer.write(REQUEST)
+        await asyncio.sleep(2 * NEW_CONNECTION_S)
+        self.writer.close()
+        await wait_until(lambda: len(self.handler.requests) == 31)
+        await asyncio.sleep(2 * ADMISSION_INTERVAL_S)
+        self.handler.released.set()
+        async with asyncio.timeout(LONG_TIMEOUT_S / 4):
+            for reader, _ in waiting:
+                self.assertIn(b" 200 ", await reader.readline())
+
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         port = self.listener.server.sockets[0].getsockname()[1]
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
