Remember until when nobody was known to read the registry

A reader reports a short outage only when the first entries can have expired, up to 2.6 s after its start.

judge_report remembers until when this node last heard of nobody who read the registry for longer than confirmations are apart. Its test plays a short outage with a late report, one that lasts, and a reader that was cut off alone.

--- a/foxtailway/sidecar/tests/test_update_exchange.py
+++ b/foxtailway/sidecar/tests/test_update_exchange.py
@@ -299,6 +299,7 @@
             node.exchange.receive_update(removal, self.network.requests.append)
             self.assertEqual("u-4" in node.membership.upstreams, is_kept)
             node.exchange.revision = 10
+            node.exchange.access.unseen_until = float("-inf")
             node.exchange.access.reported_at = float("-inf")
 
     async def test_updates_after_an_outage_do_not_extend_the_recovery_period(
--- a/foxtailway/sidecar/update_exchange.py
+++ b/foxtailway/sidecar/update_exchange.py
@@ -179,13 +179,10 @@
             self.peers.broadcast(followers, update)
         if is_changed:
             self.on_membership_change()
-        new_followers = tuple(
-            address for address in self.list_followers() if address not in followers
-        )
+        new_followers = tuple(set(self.list_followers()).difference(followers))
         if new_followers:
-            self.peers.broadcast(
-                new_followers, update or self.make_change_update(change, previous)
-            )
+            update = update or self.make_change_update(change, previous)
+            self.peers.broadcast(new_followers, update)
 
     def make_change_update(
         self, change: RegistryChange, previous: TrafficConfiguration | None
@@ -365,9 +362,11 @@
         send_reply : callable
             Sends a message back to the reader.
         """
+        now = self.loop.time()
         self.membership.regained_at = self.access.judge_report(
-            self.loop.time() - update.failure_age_ms / 1000,
+            now - update.failure_age_ms / 1000,
             self.up_to_date_at,
+            now - update.age_ms / 1000,
             self.roles.timings.max_confirmation_gap_s,
         )
         change = self.decode_update(update)
--- a/foxtailway/traffic/registry_access.py
+++ b/foxtailway/traffic/registry_access.py
@@ -43,6 +43,9 @@
     reported_at : float
         Monotonic time at which the last outage that other nodes have reported ended, in
         seconds; without those in which a third node read the registry.
+    unseen_until : float
+        Monotonic time at which the last time ended in which this node heard of nobody
+        who read the registry, in seconds.
     is_continuous : bool
         Whether this node has read the registry without interruption since then.
     has_failed : bool
@@ -56,6 +59,7 @@
         self.last_success_at = float("-inf")
         self.restored_at = float("-inf")
         self.reported_at = float("-inf")
+        self.unseen_until = float("-inf")
         self.is_continuous = False
         self.has_failed = False
 
@@ -165,21 +169,26 @@
         return max(self.restored_at, self.regained_at)
 
     def judge_report(
-        self, regained_at: float, confirmed_at: float, interval_s: float
+        self,
+        regained_at: float,
+        previous_at: float,
+        confirmed_at: float,
+        interval_s: float,
     ) -> float:
         """Return the end of the outage to go by when another node reports one.
 
         A node that was cut off alone takes the gap for an outage of the registry. The
-        report does not count if a third node read the registry in that time.
+        report does not count if a third node read the registry in that time. It may
+        follow the outage by seconds, when the first entries can have expired.
 
         Parameters
         ----------
         regained_at : float
             End of the reported outage as monotonic time in seconds; minus infinity for
             none.
-        confirmed_at : float
-            Monotonic time at which this node last knew that somebody had read the
-            registry, in seconds.
+        previous_at, confirmed_at : float
+            Monotonic times at which this node last knew that somebody had read the
+            registry, before the report and with it, in seconds.
         interval_s : float
             Longest time between two confirmations while the registry works, in seconds.
 
@@ -188,8 +197,12 @@
         float
             Monotonic time in seconds; minus infinity for no outage.
         """
-        is_later = regained_at > self.reported_at + REPORT_TOLERANCE_S
-        unseen_s = regained_at - confirmed_at
-        if not is_later or unseen_s > max(self.min_outage_s, interval_s):
+        limit_s = max(self.min_outage_s, interval_s)
+        if confirmed_at - previous_at > limit_s:
+            self.unseen_until = confirmed_at
+        is_known = regained_at <= self.reported_at + REPORT_TOLERANCE_S
+        was_unseen = regained_at <= self.unseen_until + REPORT_TOLERANCE_S
+        is_unseen = regained_at - max(previous_at, confirmed_at) > limit_s
+        if is_known or was_unseen or is_unseen:
             self.reported_at = regained_at
         return max(self.restored_at, self.reported_at)
--- a/foxtailway/traffic/tests/test_registry_access.py
+++ b/foxtailway/traffic/tests/test_registry_access.py
@@ -79,3 +79,30 @@
         slow = RegistryAccess(heartbeat_s=4.0)
         slow.record_gap(100.0, 104.5)
         self.assertEqual(slow.find_recovery(106.0), NEVER)
+
+    def test_reported_outage_counts_if_nobody_read_the_registry(self) -> None:
+        """Each report: its time, its outage's end, confirmation, and what holds."""
+        interval_s = 0.75
+        for reports in (
+            # The store is down for 1.2 s; the first entries may expire later.
+            ((100.0, NEVER, 100.0, NEVER), (101.2, NEVER, 101.2, NEVER))
+            + ((102.7, 101.2, 102.7, 101.2), (103.0, 101.2, 103.0, 101.2)),
+            # It stays down, and the reader says so.
+            ((100.0, NEVER, 100.0, NEVER), (102.8, 102.8, 100.1, 102.8))
+            + ((103.6, 103.6, 100.1, 103.6), (104.0, 104.0, 104.0, 104.0)),
+            # The reader was cut off while another one read, and returns.
+            ((100.0, NEVER, 100.0, NEVER), (101.1, NEVER, 101.1, NEVER))
+            + ((105.3, NEVER, 105.3, NEVER), (105.5, 105.5, 105.5, NEVER)),
+        ):
+            access = RegistryAccess(heartbeat_s=1.5)
+            previous_at = 99.9
+            for now, regained_at, confirmed_at, expected in reports:
+                if confirmed_at - previous_at > 2.0:
+                    # Confirmations that are not in the list.
+                    previous_at = confirmed_at - 0.3
+                with self.subTest(now=now, regained_at=regained_at):
+                    found = access.judge_report(
+                        regained_at, previous_at, confirmed_at, interval_s
+                    )
+                    self.assertEqual(found, expected)
+                previous_at = max(previous_at, confirmed_at)
