Queue messages that a peer does not read outside of the transport

Cause: unread messages wait in the bytearray of the transport. It keeps what was sent until that is half of it, and copies all of it when it grows after a part was sent; the account counts its content only.

PeerStream queues its messages and gives the transport the next one when its buffer is nearly empty.

--- a/foxtailway/platform/tests/test_process_memory.py
+++ b/foxtailway/platform/tests/test_process_memory.py
@@ -1,10 +1,12 @@
 import asyncio
+import signal
 import socket
 from collections.abc import Iterator
 from itertools import chain, repeat
 
 from foxtailway.platform.names import HEADER_NAMES
 from foxtailway.platform.tests.process_case import (
+    ADDRESS,
     BLOCK_SIZE,
     MAX_BODY_SIZE,
     STALL_S,
@@ -158,6 +160,22 @@
         await asyncio.sleep(STALL_S)
         await self.check_processes()
 
+    async def test_long_responses_for_a_host_that_is_suspended(self) -> None:
+        """Those that it did not read filled the memory of the hosts that sent them."""
+        for number in (2, 3, 4):
+            await self.start_other_host(f"127.0.0.{number}")
+        clients = self.make_clients(90)
+        await asyncio.gather(*(stop_reading(client) for client in clients))
+        long_request = GET_LONG.replace(b"/x/", b"/y/")
+        sending = asyncio.gather(*(client.send((long_request,)) for client in clients))
+        await asyncio.sleep(0.15)
+        entry = self.processes[ADDRESS]
+        entry.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(STALL_S)
+        entry.send_signal(signal.SIGCONT)
+        await sending
+        await self.check_processes()
+
     async def test_long_responses_are_delivered_to_clients_that_read(self) -> None:
         """Many at once found no memory and ended with 502, though they had run."""
         await self.start_other_host()
--- a/foxtailway/sidecar/peer_stream.py
+++ b/foxtailway/sidecar/peer_stream.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from abc import ABC, abstractmethod
+from collections import deque
 from typing import Any
 
 import msgpack
@@ -77,6 +78,13 @@
     n_held : int
         Bytes of an incomplete message and of messages that the peer has not read, as
         far as they are in the account.
+    queue : deque of bytes
+        Encoded messages for which the transport has no room. Its buffer is copied as a
+        whole when it grows after a part was sent.
+    n_queued : int
+        Bytes of these messages.
+    is_writing_paused : bool
+        Whether the buffer of the transport is full.
     is_waiting_for_room : bool
         Whether the stream is not read, since its next message finds no room.
     received_at : float
@@ -105,6 +113,9 @@
         self.unpacker: msgpack.Unpacker | None = None
         self.n_fed = 0
         self.is_waiting_for_room = False
+        self.queue: deque[bytes] = deque()
+        self.n_queued = 0
+        self.is_writing_paused = False
         self.received_at = self.loop.time()
         self.peer = ""
         self.is_open = False
@@ -148,6 +159,8 @@
         """Tell the handler that the stream has ended."""
         self.is_open = False
         self.n_incomplete = 0
+        self.queue.clear()
+        self.n_queued = 0
         self.update_account()
         self.account.receivers.pop(self, None)
         self.handler.stream_lost(self)
@@ -175,16 +188,30 @@
         else:
             self.loop.call_later(ROOM_CHECK_INTERVAL_S, self.check_room)
 
+    def pause_writing(self) -> None:
+        """Queue further messages, since the peer does not read as fast as they come."""
+        self.is_writing_paused = True
+
     def resume_writing(self) -> None:
-        """Adjust the account, since the peer has read most of what it was sent."""
+        """Give the next messages to the transport until its buffer is full."""
+        self.is_writing_paused = False
+        while self.queue and not self.is_writing_paused:
+            self.write_next()
         self.update_account()
 
+    def write_next(self) -> None:
+        """Give the next queued message to the transport."""
+        encoded = self.queue.popleft()
+        self.n_queued -= len(encoded)
+        # What is not sent at once is sliced, which copies bytes.
+        self.transport.write(memoryview(encoded))
+
     def update_account(self) -> None:
         """Adjust the bytes that the stream holds."""
         # A receiving buffer grows to twice the size of its message.
         n_held = 2 * self.n_incomplete
         if self.transport is not None:
-            n_held += self.transport.get_write_buffer_size()
+            n_held += self.transport.get_write_buffer_size() + self.n_queued
         if n_held != self.n_held:
             self.account.n_held += n_held - self.n_held
             self.n_held = n_held
@@ -197,18 +224,23 @@
     def write(self, encoded: bytes) -> None:
         """Send an encoded message; no-op when the stream has ended."""
         if self.is_open and not self.transport.is_closing():
-            self.transport.write(encoded)
+            self.queue.append(encoded)
+            self.n_queued += len(encoded)
+            if not self.is_writing_paused:
+                self.write_next()
             self.update_account()
 
     @property
     def is_sending(self) -> bool:
         """Whether bytes wait for the peer to read."""
-        return self.transport.get_write_buffer_size() > 0
+        return self.n_queued > 0 or self.transport.get_write_buffer_size() > 0
 
     def close_after_flush(self) -> None:
         """Close the stream after the buffered data was sent; idempotent."""
         self.is_open = False
         if self.transport is not None:
+            while self.queue and not self.transport.is_closing():
+                self.write_next()
             self.transport.close()
 
     def close(self) -> None:
