Accept a minimum rate of zero again

With foxtailway.min_rate = 0, which docs/SETTINGS.md allows for "never", the first byte of each request ended its connection since: ProgressMeter divided by the rate.

A transfer without a minimum rate is never behind now. The new test failed before, its connection closed without a response. No deployment sets the rate.

--- a/foxtailway/sidecar/client_connection.py
+++ b/foxtailway/sidecar/client_connection.py
@@ -165,11 +165,12 @@
     def receive(self, data: memoryview) -> None:
         """Parse received bytes until they end or too many requests wait."""
         now = self.loop.time()
+        min_rate = self.listener.account.limits.min_rate
         if self.receiving_since is None:
             self.receiving_since = now
-            self.receiving.restart(now)
+            self.receiving.restart(min_rate, now)
         n_bytes = len(data)
-        self.receiving.record(n_bytes, self.listener.account.limits.min_rate, now)
+        self.receiving.record(n_bytes, min_rate, now)
         if n_bytes <= PARSE_SIZE:
             self.parse(data)
         else:
@@ -197,7 +198,8 @@
             self.unparsed = b""
             self.receive(data)
         if not self.unparsed and not self.pipeline.is_full:
-            self.receiving.restart(self.loop.time())
+            min_rate = self.listener.account.limits.min_rate
+            self.receiving.restart(min_rate, self.loop.time())
             self.transport.resume_reading()
 
     def hold_incomplete(self) -> None:
@@ -396,10 +398,7 @@
             self.transport.close()
 
     def close_if_client_left(self) -> None:
-        """Close the connection if its client has closed it.
-
-        A transport that is not read does not notice that.
-        """
+        """Close the connection if its client did, which is not seen without reading."""
         if is_closed_by_peer(self.transport.get_extra_info("socket")):
             self.abort()
 
--- a/foxtailway/sidecar/progress_meter.py
+++ b/foxtailway/sidecar/progress_meter.py
@@ -28,9 +28,17 @@
         self.allowance_s = allowance_s
         self.paid_until = float("inf")
 
-    def restart(self, now: float) -> None:
-        """Start to measure a transfer; `now` is the monotonic time in seconds."""
-        self.paid_until = now + self.allowance_s
+    def restart(self, min_rate: float, now: float) -> None:
+        """Start to measure a transfer.
+
+        Parameters
+        ----------
+        min_rate : float
+            Minimum rate, in bytes per second; 0 if the transfer is never behind.
+        now : float
+            Monotonic time in seconds.
+        """
+        self.paid_until = now + self.allowance_s if min_rate else float("inf")
 
     def record(self, n_bytes: int, min_rate: float, now: float) -> None:
         """Record that bytes were moved.
@@ -40,10 +48,12 @@
         n_bytes : int
             Bytes that were moved since the last call.
         min_rate : float
-            Minimum rate, in bytes per second.
+            Minimum rate, in bytes per second; 0 if the transfer is never behind.
         now : float
             Monotonic time in seconds.
         """
+        if not min_rate:
+            return
         paid_until = self.paid_until + n_bytes / min_rate
         self.paid_until = min(paid_until, now + self.allowance_s)
 
--- a/foxtailway/sidecar/request_pipeline.py
+++ b/foxtailway/sidecar/request_pipeline.py
@@ -416,7 +416,7 @@
             if not n_buffered:
                 return
             share = self.write_share = self.account.open_share(self.transport.abort)
-            self.reading.restart(self.loop.time())
+            self.reading.restart(self.account.limits.min_rate, self.loop.time())
         n_unread = n_buffered + len(self.unsent)
         n_read = max(0, self.n_unread - n_unread)
         share.n_moved += n_read
--- a/foxtailway/sidecar/tests/test_http_listener.py
+++ b/foxtailway/sidecar/tests/test_http_listener.py
@@ -140,6 +140,18 @@
         self.assertEqual(self.listener.account.n_held, 0)
         self.assertEqual(self.listener.account.shares, set())
 
+    async def test_minimum_rate_of_zero_closes_no_slow_client(self) -> None:
+        """It is a legal setting, and each request with it ended its connection."""
+        self.listener.account.apply_limits(AccountLimits(min_rate=0.0))
+        self.writer.write(REQUEST)
+        head, _ = await self.read_response()
+        self.assertIn(b" 200 ", head)
+        self.writer.write(REQUEST[:-1])
+        connection = next(iter(self.listener.connections))
+        await wait_until(lambda: connection.receiving_since is not None)
+        later = connection.loop.time() + 100.0
+        self.assertIsNone(connection.compute_stale_time(later))
+
     async def test_connection_of_no_use_gives_way_to_a_new_one(self) -> None:
         self.listener.table.max_n_connections = 1
         self.writer.write(REQUEST)
