--- a/foxtailway/sidecar/address_owner.py
+++ b/foxtailway/sidecar/address_owner.py
@@ -6,7 +6,7 @@
 
 
 class AddressOwner:
-    """Upstreams that refused requests meant for another one at the same address.
+    """Upstreams that another one has replaced at the address, as its refusals show.
 
     Attributes
     ----------
