--- a/review/standins_3/mesh.py
+++ b/review/standins_3/mesh.py
@@ -564,9 +564,16 @@
     case : callable
         Coroutine function that returns whether the rule held.
     """
+
+    async def run() -> bool:
+        # The processes of the case are ended also if the script itself is stopped.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await case()
+
     try:
-        held = asyncio.run(case())
-    except Exception as error:
+        held = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}")
         sys.exit(2)
     sys.exit(0 if held else 1)
