--- a/review/standins_3/mesh.py
+++ b/review/standins_3/mesh.py
@@ -20,6 +20,7 @@
 
 __all__ = [
     "GRACE_S",
+    "DRAIN_S",
     "HOST",
     "PORT_CLIENT",
     "Message",
@@ -149,6 +150,8 @@
         self.changed = asyncio.Event()
         self.era = 1
         self.is_up = True
+        self.is_silent = False
+        self.silent: set[int] = set()
         self.writers: set[asyncio.StreamWriter] = set()
         self.server: asyncio.Server | None = None
 
@@ -203,6 +206,10 @@
             while True:
                 request = await read_message(reader)
                 status, body = await self.answer(request.start[1])
+                if self.is_silent or id(writer) in self.silent:
+                    # A connection on which a response is lost returns nothing further.
+                    self.silent.add(id(writer))
+                    await asyncio.Event().wait()
                 headers = {
                     "Content-Type": "application/msgpack",
                     "Store-Era": str(self.era),
@@ -286,6 +293,13 @@
         )
         self.register()
 
+    def restart(self) -> None:
+        """Register again as a new incarnation with a new identifier."""
+        self.upstream_id = f"i-{random.randrange(2**32):08x}"
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.register()
+
     def register(self, state: str = "ready") -> float:
         """Write the registry entry; return the time of the acknowledgement."""
         self.state = state
