--- a/review/standins_3/mesh.py
+++ b/review/standins_3/mesh.py
@@ -304,7 +304,11 @@
         """Write the registry entry; return the time of the acknowledgement."""
         self.state = state
         self.sequence += 1
-        entry = {
+        return self.mesh.store.put(f"servers/{self.upstream_id}", self.make_entry())
+
+    def make_entry(self) -> dict:
+        """Return the registry entry with the present state and sequence."""
+        return {
             "address": f"{self.address}:{PORT_APP}",
             "born": self.born,
             "info": {
@@ -314,12 +318,11 @@
                 "slots": self.n_slots,
             },
             "status": {
-                "state": state,
+                "state": self.state,
                 "sequence": self.sequence,
                 "cold_remaining": 0,
             },
         }
-        return self.mesh.store.put(f"servers/{self.upstream_id}", entry)
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
