--- a/review/14/case.py
+++ b/review/14/case.py
@@ -127,8 +127,9 @@
     try:
         sidecar = mesh.add(Reservations, "tln-a", "ladu")
         mesh.add(Reservations, "tln-a", "ladu")
-        mesh.add(Reservations, "trt-a", "ladu")
-        mesh.add(Reservations, "trt-a", "valjakutse")
+        mesh.add(Reservations, "tln-a", "valjakutse")
+        for service in ("ladu", "ladu", "valjakutse"):
+            mesh.add(Reservations, "trt-a", service)
         route = Route(prefix="/reserve/", service="ladu", route_type="unsafe")
         await mesh.start([route])
         return await play_leaving(mesh, sidecar)
--- a/review/standins_3/mesh.py
+++ b/review/standins_3/mesh.py
@@ -284,6 +284,7 @@
         self.state = "ready"
         self.runs: list[tuple[float, Message]] = []
         self.finished: dict[str, float] = {}
+        self.writers: set[asyncio.StreamWriter] = set()
         self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -293,6 +294,12 @@
         )
         self.register()
 
+    def crash(self) -> None:
+        """End without a word: reset all connections and accept no more."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     def restart(self) -> None:
         """Register again as a new incarnation with a new identifier."""
         self.upstream_id = f"i-{random.randrange(2**32):08x}"
@@ -328,6 +335,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Answer the requests of one connection, one after the other."""
+        self.writers.add(writer)
         try:
             while True:
                 request = await read_message(reader)
@@ -336,6 +344,7 @@
         except (ProtocolError, OSError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def answer(self, request: Message) -> bytes:
@@ -424,7 +433,10 @@
             "platform.address": f"{self.mesh.store.address}:{PORT_STORE}",
         }
         text = "".join(f"{name}={value}\n" for name, value in fields.items())
-        self.path.write_text(text)
+        # A reader sees the old file or the new one.
+        new_path = self.path.with_suffix(".new")
+        new_path.write_text(text)
+        new_path.replace(self.path)
 
     def start(self) -> None:
         """Start the process with the command of the deploy file."""
